--- /dev/null
+++ b/src/kumquatbeam/types/ids.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "kumquatbeam/types/strong_value.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace kumquatbeam {
+
+/// Name of a client account, as the platform's document spells it.
+using client_account_id = strong_value<struct client_account_tag, std::string>;
+
+/// Name of one endpoint: a model engine or a plain service instance.
+using endpoint_id = strong_value<struct endpoint_tag, std::string>;
+
+/// Name of a pool: the endpoints that can serve the same calls.
+using pool_id = strong_value<struct pool_tag, std::string>;
+
+/// Name of a virtual machine that runs a router daemon.
+using entry_vm_id = strong_value<struct entry_vm_tag, std::string>;
+
+/// Name of a failure domain.
+using failure_domain_id = strong_value<struct failure_domain_tag, std::string>;
+
+/// Name of a team that owns sections of the platform's document.
+using team_id = strong_value<struct team_tag, std::string>;
+
+/// One life of a router process. Drawn at random at start, so that a restarted router is told from its old self.
+using incarnation = strong_value<struct incarnation_tag, std::uint64_t>;
+
+/// Revision of a document that the platform publishes; it only grows.
+using revision = strong_value<struct revision_tag, std::uint64_t>;
+
+/// A request inside one router incarnation.
+using request_id = strong_value<struct request_tag, std::uint64_t>;
+
+/// A short name of an account, pool or endpoint on the wire between daemons: a hash of its name.
+using wire_key = strong_value<struct wire_key_tag, std::uint32_t>;
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/types/order_ticket.cpp
@@ -0,0 +1,46 @@
+#include "kumquatbeam/types/order_ticket.hpp"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+namespace kumquatbeam {
+
+namespace {
+
+    constexpr std::size_t longestTicket = 128;
+
+    /// Cuts the last dot-separated field off `text` and reads it as a hexadecimal number.
+    std::optional<std::uint64_t> takeLastNumber(std::string_view& text)
+    {
+        const auto dot = text.rfind('.');
+        if (dot == std::string_view::npos)
+            return std::nullopt;
+        const std::string digits(text.substr(dot + 1));
+        std::uint64_t number = 0;
+        if (!absl::SimpleHexAtoi(digits, &number))
+            return std::nullopt;
+        text = text.substr(0, dot);
+        return number;
+    }
+
+} // namespace
+
+std::string toText(const order_ticket& ticket)
+{
+    return absl::StrCat(ticket.holder.value, ".", absl::Hex(ticket.life.value), ".", absl::Hex(ticket.sequence), ".",
+        absl::Hex(ticket.nonce));
+}
+
+std::optional<order_ticket> parseOrderTicket(std::string_view text)
+{
+    if (text.size() > longestTicket)
+        return std::nullopt;
+    const auto nonce = takeLastNumber(text);
+    const auto sequence = nonce ? takeLastNumber(text) : std::nullopt;
+    const auto life = sequence ? takeLastNumber(text) : std::nullopt;
+    if (!life || text.empty())
+        return std::nullopt;
+    return order_ticket { entry_vm_id { std::string(text) }, incarnation { *life }, *sequence, *nonce };
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/types/units.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "kumquatbeam/types/strong_value.hpp"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace kumquatbeam {
+
+/// Service that an account received: the time it held slots of a pool, in slot-microseconds.
+using service_cost = strong_quantity<struct service_cost_tag, std::int64_t>;
+
+/// Weight of a client account; service is divided in proportion to it. Unit: thousandths of one share.
+using account_share = strong_quantity<struct account_share_tag, std::int64_t>;
+
+/// Places for concurrent calls at an endpoint.
+using slot_count = strong_quantity<struct slot_count_tag, std::int32_t>;
+
+/// A size in bytes.
+using byte_count = strong_quantity<struct byte_count_tag, std::uint64_t>;
+
+} // namespace kumquatbeam
