--- /dev/null
+++ b/src/kumquatbeam/settings/member_list.cpp
@@ -0,0 +1,59 @@
+#include "kumquatbeam/settings/member_list.hpp"
+
+#include <array>
+
+namespace kumquatbeam {
+
+namespace {
+
+    constexpr setting_range nameLength { 1, 64 };
+    constexpr setting_range flag { 0, 1 };
+
+    constexpr auto entryVmRows = std::to_array<setting_row<entry_vm>>({
+        settingRow<&entry_vm::domain>({ "domain", "characters", nameLength, true, "failure domain" }),
+        settingRow<&entry_vm::address>({ "address", "characters", nameLength, true, "IP number" }),
+        settingRow<&entry_vm::peerPort>({ "peer-port", "port", { 1, 65535 }, true, "TCP port for peers" }),
+        settingRow<&entry_vm::isLeaving>({ "leaving", "yes or no", flag, false, "whether the machine is leaving" }),
+    });
+
+    constexpr auto endpointMachineRows = std::to_array<setting_row<endpoint_machine>>({
+        settingRow<&endpoint_machine::isLeaving>(
+            { "leaving", "yes or no", flag, false, "whether the machine is leaving" }),
+    });
+
+    template <typename Record, typename Id>
+    void addMember(std::map<Id, Record>& records, std::span<const setting_row<Record>> table,
+        const ini_section& section, std::vector<failure>& faults)
+    {
+        Record record;
+        record.id = Id { section.name };
+        const auto faultsBefore = faults.size();
+        fillRecord(record, table, section, faults);
+        if (faults.size() == faultsBefore)
+            records.emplace(record.id, std::move(record));
+    }
+
+} // namespace
+
+member_verdict parseMembers(revision current, const std::string& text)
+{
+    member_verdict verdict;
+    verdict.members.current = current;
+    const auto ini = parseIni(text);
+    if (!ini.ok()) {
+        verdict.faults.push_back(failureOf(ini.status()).value_or(failure { failure_kind::SyntaxError }));
+        return verdict;
+    }
+    for (const auto& section : ini->sections) {
+        if (section.kind == "entry-vm")
+            addMember<entry_vm>(verdict.members.entryVms, entryVmRows, section, verdict.faults);
+        else if (section.kind == "endpoint")
+            addMember<endpoint_machine>(verdict.members.endpointMachines, endpointMachineRows, section, verdict.faults);
+        else
+            verdict.faults.push_back({ failure_kind::UnknownSection, placeOf(section, "", section.line), section.kind,
+                "entry-vm, endpoint" });
+    }
+    return verdict;
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/settings/member_list.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "kumquatbeam/settings/setting_row.hpp"
+#include "kumquatbeam/types/ids.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace kumquatbeam {
+
+/// A virtual machine that runs a router daemon, as the platform lists it.
+struct entry_vm {
+    entry_vm_id id;
+    failure_domain_id domain;
+    std::string address;
+    std::int64_t peerPort = 0;
+    bool isLeaving = false;
+};
+
+/// The platform's word on an endpoint's machine.
+struct endpoint_machine {
+    endpoint_id id;
+    bool isLeaving = false;
+};
+
+/// The platform's list of live and leaving machines. It lags, so it is a hint.
+struct member_list {
+    revision current;
+    std::map<entry_vm_id, entry_vm> entryVms;
+    std::map<endpoint_id, endpoint_machine> endpointMachines;
+};
+
+/// What became of a member list's text.
+struct member_verdict {
+    member_list members;
+    std::vector<failure> faults;
+};
+
+/// Parses the platform's list. Sections with faults are left out; the others count.
+member_verdict parseMembers(revision, const std::string& text);
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/settings/router_settings.cpp
@@ -0,0 +1,75 @@
+#include "kumquatbeam/settings/router_settings.hpp"
+
+#include <array>
+
+namespace kumquatbeam {
+
+namespace {
+
+    constexpr setting_range nameLength { 1, 64 };
+    constexpr setting_range portRange { 1, 65535 };
+
+    constexpr auto routerRows = std::to_array<setting_row<router_settings>>({
+        settingRow<&router_settings::self>({ "entry-vm", "characters", nameLength, true, "name of this entry VM" }),
+        settingRow<&router_settings::domain>(
+            { "domain", "characters", nameLength, true, "failure domain of this entry VM" }),
+        settingRow<&router_settings::sourceAddress>(
+            { "source-address", "characters", { 0, 64 }, false, "IP number to connect from" }),
+        settingRow<&router_settings::callerAddress>(
+            { "caller-address", "characters", nameLength, false, "IP number for callers" }),
+        settingRow<&router_settings::callerPort>({ "caller-port", "port", portRange, true, "TCP port for callers" }),
+        settingRow<&router_settings::peerAddress>(
+            { "peer-address", "characters", nameLength, false, "IP number for peers" }),
+        settingRow<&router_settings::peerPort>({ "peer-port", "port", portRange, true, "TCP port for peers" }),
+        settingRow<&router_settings::operatorAddress>(
+            { "operator-address", "characters", nameLength, false, "IP number for operators" }),
+        settingRow<&router_settings::operatorPort>(
+            { "operator-port", "port", portRange, true, "TCP port for operators" }),
+        settingRow<&router_settings::platformAddress>(
+            { "platform-address", "characters", nameLength, false, "IP number of the platform" }),
+        settingRow<&router_settings::platformPort>(
+            { "platform-port", "port", portRange, true, "TCP port of the platform" }),
+        settingRow<&router_settings::strategy>(
+            { "strategy", "characters", nameLength, false, "how slots are divided between routers" }),
+        settingRow<&router_settings::requestLimit>(
+            { "request-limit", "requests", { 1, 1'000'000 }, false, "requests in the router at once" }),
+        settingRow<&router_settings::bodyLimit>(
+            { "body-limit", "bytes", { 1, 1'073'741'824 }, false, "largest request body, and largest stored reply" }),
+        settingRow<&router_settings::drainNotice>(
+            { "drain-notice-ms", "ms", { 0, 600'000 }, false, "time for the balancer to notice a shutdown" }),
+        settingRow<&router_settings::drainLimit>(
+            { "drain-limit-ms", "ms", { 0, 3'600'000 }, false, "longest wait for calls in progress" }),
+        settingRow<&router_settings::logLevel>(
+            { "log-level", "characters", nameLength, false, "debug, info, warning or error" }),
+    });
+
+} // namespace
+
+std::span<const setting_row<router_settings>> routerSettingsTable() { return routerRows; }
+
+absl::StatusOr<router_settings> parseRouterSettings(const std::string& text, std::vector<failure>& faults)
+{
+    const auto ini = parseIni(text);
+    if (!ini.ok()) {
+        faults.push_back(failureOf(ini.status()).value_or(failure { failure_kind::SyntaxError }));
+        return ini.status();
+    }
+    router_settings settings;
+    bool hasRouterSection = false;
+    for (const auto& section : ini->sections) {
+        if (section.kind != "router") {
+            faults.push_back(
+                { failure_kind::UnknownSection, placeOf(section, "", section.line), section.kind, "router" });
+            continue;
+        }
+        hasRouterSection = true;
+        fillRecord(settings, routerSettingsTable(), section, faults);
+    }
+    if (!hasRouterSection)
+        faults.push_back({ failure_kind::MissingSetting, "[router]" });
+    if (!faults.empty())
+        return toStatus(faults.front());
+    return settings;
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/settings/router_settings.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "kumquatbeam/settings/setting_row.hpp"
+#include "kumquatbeam/types/ids.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace kumquatbeam {
+
+/// Settings of one router process.
+struct router_settings {
+    entry_vm_id self;
+    failure_domain_id domain;
+    /// IP number that the router connects from; empty leaves the choice to the system.
+    std::string sourceAddress;
+    std::string callerAddress = "127.0.0.1";
+    std::int64_t callerPort = 0;
+    std::string peerAddress = "127.0.0.1";
+    std::int64_t peerPort = 0;
+    std::string operatorAddress = "127.0.0.1";
+    std::int64_t operatorPort = 0;
+    std::string platformAddress = "127.0.0.1";
+    std::int64_t platformPort = 0;
+    /// Name of the strategy that divides slots between routers.
+    std::string strategy = "local-only";
+    std::int64_t requestLimit = 4000;
+    std::int64_t bodyLimit = 1'048'576;
+    /// Time that the balancer is given to notice that the router is not ready any more.
+    std::chrono::milliseconds drainNotice { 1000 };
+    /// Time after which a shutdown no longer waits for calls in progress.
+    std::chrono::milliseconds drainLimit { 60000 };
+    std::string logLevel = "info";
+};
+
+/// Parses the text of a settings file. The status names the first fault; `faults` gets every one.
+absl::StatusOr<router_settings> parseRouterSettings(const std::string& text, std::vector<failure>& faults);
+
+/// The table of keys of the `[router]` section.
+std::span<const setting_row<router_settings>> routerSettingsTable();
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/settings/text_file.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <string>
+
+namespace kumquatbeam {
+
+/// The whole of a file. The error names the path.
+absl::StatusOr<std::string> readTextFile(const std::string& path);
+
+} // namespace kumquatbeam
