--- /dev/null
+++ b/src/kumquatbeam/controllers/command.hpp
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "kumquatbeam/controllers/status_report.hpp"
+#include "kumquatbeam/settings/member_list.hpp"
+#include "kumquatbeam/types/call.hpp"
+#include "kumquatbeam/types/ids.hpp"
+#include "kumquatbeam/types/peer_message.hpp"
+#include "kumquatbeam/types/time.hpp"
+
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace kumquatbeam {
+
+/// Ends a request with a whole reply, or breaks it off where part of an answer has gone to the caller.
+struct reply_to_caller {
+    request_id id;
+    call_reply reply;
+};
+
+/// The head of an endpoint's answer, which goes on in pieces.
+struct answer_head {
+    request_id id;
+    endpoint_status status;
+    std::string contentType;
+};
+
+/// The next bytes of an answer. The endpoint session reads on when the caller session has acknowledged them.
+struct answer_piece {
+    request_id id;
+    std::string bytes;
+};
+
+/// The endpoint ended its answer; all of it has been handed over.
+struct answer_end {
+    request_id id;
+};
+
+/// Whether the balancer shall send callers here.
+struct set_ready {
+    bool isReady = false;
+};
+
+/// Stops accepting callers.
+struct stop_accepting { };
+
+/// Everything that the callers duty is told.
+using caller_command = std::variant<reply_to_caller, answer_head, answer_piece, answer_end, set_ready, stop_accepting>;
+
+/// Where an endpoint listens.
+struct endpoint_address {
+    endpoint_id endpoint;
+    std::string address;
+    std::int64_t port = 0;
+};
+
+/// Has an endpoint run a call.
+struct start_attempt {
+    request_id id;
+    endpoint_address to;
+    std::shared_ptr<const call_request> call;
+    /// After this time no first byte may be sent: the lease on the slot has ended.
+    time_point sendBefore = never;
+    /// After this time the attempt is given up.
+    time_point deadline = never;
+    /// Whether the answer is kept whole for the decisions duty instead of relayed to the caller.
+    bool isBuffered = false;
+    /// Bytes that an earlier attempt has relayed; the endpoint is asked to go on from there.
+    byte_count resumeAt {};
+};
+
+/// Gives up an attempt and tells the endpoint.
+struct cancel_attempt {
+    request_id id;
+};
+
+/// The caller session has passed on a piece.
+struct piece_consumed {
+    request_id id;
+};
+
+/// The endpoints whose load is to be asked for.
+struct watch_endpoints {
+    std::vector<endpoint_address> endpoints;
+};
+
+/// Everything that the endpoints duty is told.
+using endpoint_command = std::variant<start_attempt, cancel_attempt, piece_consumed, watch_endpoints>;
+
+/// The entry VMs to be connected with.
+struct set_peers {
+    std::vector<entry_vm> peers;
+};
+
+/// Sends a message to one peer.
+struct send_to_peer {
+    entry_vm_id to;
+    peer_message message;
+};
+
+/// Everything that the peers duty is told.
+using peer_command = std::variant<set_peers, send_to_peer>;
+
+/// Answers an operator's query.
+struct status_reply {
+    request_id query;
+    status_report report;
+};
+
+/// Ends the process: nothing is in progress any more.
+struct finish_process { };
+
+/// Everything that the operators duty is told.
+using operator_command = std::variant<status_reply, finish_process>;
+
+/// Where controllers put what the other duties shall do.
+class command_outlet {
+public:
+    virtual ~command_outlet() = default;
+
+    virtual void send(caller_command) = 0;
+    virtual void send(endpoint_command) = 0;
+    virtual void send(peer_command) = 0;
+    virtual void send(operator_command) = 0;
+};
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/controllers/decision_core.cpp
@@ -0,0 +1,98 @@
+#include "kumquatbeam/controllers/decision_core.hpp"
+
+#include "kumquatbeam/filters/account_filter.hpp"
+#include "kumquatbeam/filters/deadline_filter.hpp"
+#include "kumquatbeam/filters/drain_filter.hpp"
+#include "kumquatbeam/filters/pool_filter.hpp"
+#include "kumquatbeam/filters/queue_limit_filter.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquatbeam {
+
+decision_core::decision_core(router_settings settings, incarnation life, command_outlet& commands, decision_log& log)
+    : m_settings(std::move(settings))
+    , m_life(life)
+    , m_commands(commands)
+    , m_log(log)
+    , m_membership(m_settings.self, m_configuration)
+    , m_placement(m_settings, m_configuration, m_membership)
+    , m_drain(m_settings)
+    , m_controllers { &m_configuration, &m_membership, &m_placement, &m_reply, &m_drain }
+{
+    m_chain.append(std::make_unique<drain_filter>(m_drain));
+    m_chain.append(std::make_unique<account_filter>(m_configuration));
+    m_chain.append(std::make_unique<pool_filter>(m_configuration));
+    m_chain.append(std::make_unique<deadline_filter>(m_configuration));
+    m_chain.append(std::make_unique<queue_limit_filter>(m_placement));
+}
+
+void decision_core::handle(const decision_event& event, time_point now)
+{
+    decision_context context { now, m_commands, m_log, m_raised };
+    dispatch(event, context);
+    settleRaised(context);
+}
+
+time_point decision_core::nextDeadline() const
+{
+    time_point earliest = never;
+    for (const auto* part : m_controllers)
+        earliest = std::min(earliest, part->nextDeadline());
+    return earliest;
+}
+
+void decision_core::onDeadline(time_point now)
+{
+    decision_context context { now, m_commands, m_log, m_raised };
+    for (auto* part : m_controllers) {
+        if (part->nextDeadline() <= now)
+            part->onDeadline(context);
+    }
+    settleRaised(context);
+}
+
+void decision_core::dispatch(const decision_event& event, decision_context& context)
+{
+    const event_handlers handlers {
+        [&](const request_arrived& arrived) { filterRequest(arrived, context); },
+        [&](const status_requested& query) { reportStatus(query, context); },
+    };
+    std::visit(handlers, event);
+    for (auto* part : m_controllers)
+        part->handle(event, context);
+}
+
+void decision_core::filterRequest(const request_arrived& arrived, decision_context& context)
+{
+    request_context request { .id = arrived.id, .call = arrived.call };
+    auto verdict = m_chain.apply(request, context.now);
+    if (!verdict) {
+        context.raised.emplace_back(request_admitted { std::move(request) });
+        return;
+    }
+    if (verdict->reply.problem)
+        context.log.refused(
+            { arrived.id, request.account, arrived.call->pool, verdict->filter, *verdict->reply.problem });
+    context.commands.send(caller_command { reply_to_caller { arrived.id, std::move(verdict->reply) } });
+}
+
+void decision_core::reportStatus(const status_requested& query, decision_context& context)
+{
+    status_report report { .self = m_settings.self, .domain = m_settings.domain, .life = m_life };
+    for (const auto* part : m_controllers)
+        part->describe(report);
+    context.commands.send(operator_command { status_reply { query.query, std::move(report) } });
+}
+
+void decision_core::settleRaised(decision_context& context)
+{
+    while (!m_raised.empty()) {
+        const auto event = std::move(m_raised.front());
+        m_raised.pop_front();
+        dispatch(event, context);
+    }
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/controllers/decision_event.hpp
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "kumquatbeam/filters/request_context.hpp"
+#include "kumquatbeam/types/call.hpp"
+#include "kumquatbeam/types/ids.hpp"
+#include "kumquatbeam/types/peer_message.hpp"
+#include "kumquatbeam/types/time.hpp"
+#include "kumquatbeam/types/units.hpp"
+
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace kumquatbeam {
+
+/// A caller's request has been read whole.
+struct request_arrived {
+    request_id id;
+    std::shared_ptr<const call_request> call;
+};
+
+/// The chain let a request pass.
+struct request_admitted {
+    request_context context;
+};
+
+/// An admitted request has had its end; raised by the controller that ended it.
+struct request_ended {
+    request_context context;
+    /// The reply still to be given; nothing where the endpoint's answer went to the caller in pieces, or the caller
+    /// left.
+    std::optional<call_reply> reply {};
+};
+
+/// The caller of a request has left.
+struct request_abandoned {
+    request_id id;
+};
+
+/// How an attempt to have an endpoint run a call ended.
+enum class attempt_outcome {
+    /// The endpoint's whole answer was received.
+    Completed,
+    /// No byte of the call went out.
+    NotSent,
+    /// The endpoint said that it did not run the call.
+    Refused,
+    /// A byte went out, and the answer did not come whole.
+    Broken,
+};
+
+/// The end of one attempt, as the endpoints duty saw it.
+struct attempt_ended {
+    request_id id;
+    endpoint_id endpoint;
+    attempt_outcome outcome = attempt_outcome::NotSent;
+    /// Set unless the outcome is `Completed`.
+    std::optional<failure> problem {};
+    /// Bytes of the answer's body that were handed to the caller, counted over all attempts.
+    byte_count relayed {};
+    /// The kept answer of a buffered attempt.
+    endpoint_status status { 0 };
+    std::string contentType {};
+    std::string body {};
+    /// Time that the slot was held.
+    service_cost cost {};
+};
+
+/// What an endpoint reports about itself. It lags.
+struct endpoint_load {
+    endpoint_id endpoint;
+    std::int64_t running = 0;
+    std::int64_t waiting = 0;
+    bool isLeaving = false;
+};
+
+/// The endpoint answered a load query, or the query failed.
+struct load_observed {
+    endpoint_id endpoint;
+    std::optional<endpoint_load> load;
+};
+
+/// The platform or a peer has a text of the operators' document.
+struct document_published {
+    revision current;
+    std::string text;
+};
+
+/// The platform has a list of members.
+struct members_published {
+    revision current;
+    std::string text;
+};
+
+/// A connection to a peer stands, and the peer has said who it is.
+struct peer_connected {
+    peer_greeting greeting;
+};
+
+/// The connection to a peer is gone.
+struct peer_lost {
+    entry_vm_id peer;
+};
+
+/// A peer said something.
+struct peer_received {
+    entry_vm_id from;
+    peer_message message;
+};
+
+/// An operator's query, by its id in the operators duty.
+struct status_requested {
+    request_id query;
+};
+
+/// The process was told to stop.
+struct shutdown_requested { };
+
+/// Everything that reaches the decisions duty.
+using decision_event = std::variant<request_arrived, request_admitted, request_ended, request_abandoned, attempt_ended,
+    load_observed, document_published, members_published, peer_connected, peer_lost, peer_received, status_requested,
+    shutdown_requested>;
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/controllers/drain_controller.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "kumquatbeam/controllers/controller.hpp"
+#include "kumquatbeam/settings/router_settings.hpp"
+
+namespace kumquatbeam {
+
+/// Owns the way to a graceful end: not ready, then refusing, then gone when nothing is in progress.
+class drain_controller final : public controller {
+public:
+    explicit drain_controller(const router_settings&);
+
+    std::string_view name() const override { return "drain"; }
+    void handle(const decision_event&, decision_context&) override;
+    time_point nextDeadline() const override;
+    void onDeadline(decision_context&) override;
+    void describe(status_report&) const override;
+
+    bool isDraining() const { return m_refuseAt != never; }
+    bool refusesRequests(time_point now) const { return now >= m_refuseAt; }
+
+private:
+    void finishWhenIdle(decision_context&);
+
+    const router_settings& m_settings;
+    std::int64_t m_inProgress = 0;
+    time_point m_refuseAt = never;
+    time_point m_endBy = never;
+    bool m_hasStoppedAccepting = false;
+    bool m_hasFinished = false;
+};
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/controllers/placement_controller.cpp
@@ -0,0 +1,323 @@
+#include "kumquatbeam/controllers/placement_controller.hpp"
+
+#include "kumquatbeam/filters/request_filter.hpp"
+#include "kumquatbeam/types/invariant.hpp"
+#include "kumquatbeam/types/wire_key.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquatbeam {
+
+namespace {
+
+    account_backlog* findAccount(pool_view& view, const client_account_id& id)
+    {
+        const auto row = std::lower_bound(view.accounts.begin(), view.accounts.end(), id,
+            [](const account_backlog& left, const client_account_id& right) { return left.account < right; });
+        return row != view.accounts.end() && row->account == id ? &*row : nullptr;
+    }
+
+    endpoint_capacity* findEndpoint(pool_view& view, const endpoint_id& id)
+    {
+        const auto row = std::lower_bound(view.endpoints.begin(), view.endpoints.end(), id,
+            [](const endpoint_capacity& left, const endpoint_id& right) { return left.endpoint < right; });
+        return row != view.endpoints.end() && row->endpoint == id ? &*row : nullptr;
+    }
+
+} // namespace
+
+placement_controller::placement_controller(const router_settings& settings,
+    const configuration_controller& configuration, const membership_controller& membership)
+    : m_settings(settings)
+    , m_configuration(configuration)
+    , m_membership(membership)
+{
+}
+
+void placement_controller::handle(const decision_event& event, decision_context& context)
+{
+    const event_handlers handlers {
+        [&](const request_admitted& admitted) {
+            if (admitted.context.route == request_route::Queue)
+                enqueue(admitted.context, context);
+        },
+        [&](const request_abandoned& abandoned) { abandon(abandoned.id, context); },
+        [&](const attempt_ended& ended) { finishAttempt(ended, context); },
+        [&](const peer_received& received) { receive(received, context); },
+        [&](const document_published&) {
+            refreshViews();
+            dropOrphans(context);
+        },
+        [&](const members_published&) { refreshViews(); },
+        [&](const load_observed&) { refreshViews(); },
+        [&](const peer_connected&) { refreshViews(); },
+        [&](const peer_lost&) { refreshViews(); },
+    };
+    std::visit(handlers, event);
+    for (auto& [id, pool] : m_pools)
+        placeWaiting(pool, context);
+}
+
+time_point placement_controller::nextDeadline() const
+{
+    time_point earliest = never;
+    for (const auto& [id, pool] : m_pools) {
+        earliest = std::min(earliest, pool.strategy->nextBeat());
+        for (const auto& [account, queue] : pool.queues)
+            earliest = std::min(earliest, queue.nextDeadline());
+    }
+    return earliest;
+}
+
+void placement_controller::onDeadline(decision_context& context)
+{
+    for (auto& [id, pool] : m_pools) {
+        expire(pool, context);
+        sendBeats(pool, context);
+        placeWaiting(pool, context);
+    }
+}
+
+void placement_controller::describe(status_report& report) const
+{
+    report.strategy = m_settings.strategy;
+    for (const auto& [id, pool] : m_pools) {
+        for (const auto& row : pool.view.accounts)
+            report.accounts.push_back({ id, row.account, row.share, row.waiting, row.running, row.served });
+        for (const auto& row : pool.view.endpoints)
+            report.endpoints.push_back({ row.endpoint, id, row.slots, row.running, !row.isUsable });
+    }
+}
+
+bool placement_controller::hasRoomFor(const client_account_id& account, const pool_id& pool) const
+{
+    const auto state = m_pools.find(pool);
+    if (state == m_pools.end())
+        return false;
+    const auto queue = state->second.queues.find(account);
+    const auto waiting = queue == state->second.queues.end() ? 0 : static_cast<std::int64_t>(queue->second.size());
+    return waiting < m_configuration.current()->accounts.at(account).queueLimit;
+}
+
+void placement_controller::enqueue(const request_context& request, decision_context& context)
+{
+    auto& pool = m_pools.at(request.call->pool);
+    auto* account = findAccount(pool.view, request.account);
+    if (!account) {
+        end(request, notRun({ failure_kind::UnknownAccount, request.account.value }), context);
+        return;
+    }
+    pool.queues[request.account].push(request);
+    ++account->waiting;
+}
+
+void placement_controller::abandon(request_id id, decision_context& context)
+{
+    if (const auto running = m_running.find(id); running != m_running.end()) {
+        running->second.isAbandoned = true;
+        context.commands.send(endpoint_command { cancel_attempt { id } });
+        return;
+    }
+    for (auto& [poolId, pool] : m_pools) {
+        for (auto& [accountId, queue] : pool.queues) {
+            auto removed = queue.remove(id);
+            if (!removed)
+                continue;
+            --findAccount(pool.view, accountId)->waiting;
+            end(std::move(*removed), notRun({ failure_kind::CallerGone }), context);
+            return;
+        }
+    }
+}
+
+void placement_controller::finishAttempt(const attempt_ended& ended, decision_context& context)
+{
+    auto node = m_running.extract(ended.id);
+    KUMQUATBEAM_INVARIANT(!node.empty());
+    auto call = std::move(node.mapped());
+    const auto state = m_pools.find(call.context.call->pool);
+    if (state != m_pools.end()) {
+        if (auto* account = findAccount(state->second.view, call.context.account)) {
+            --account->running;
+            account->served += ended.cost;
+        }
+        if (auto* endpoint = findEndpoint(state->second.view, call.endpoint))
+            endpoint->running -= slot_count { 1 };
+    }
+    settle(std::move(call), ended, context);
+}
+
+void placement_controller::settle(running_call call, const attempt_ended& ended, decision_context& context)
+{
+    if (ended.outcome == attempt_outcome::Completed) {
+        std::optional<call_reply> reply;
+        if (!call.context.isRepeatable)
+            reply = call_reply { .kind = reply_kind::Answered,
+                .problem = {},
+                .status = ended.status,
+                .contentType = ended.contentType,
+                .body = ended.body };
+        context.raised.emplace_back(request_ended { std::move(call.context), std::move(reply) });
+        return;
+    }
+    if (mayTryAgain(call, ended)) {
+        m_attemptsBefore[ended.id] = call.attempts;
+        enqueue(call.context, context);
+        return;
+    }
+    const bool hasNotRun = ended.outcome == attempt_outcome::NotSent || ended.outcome == attempt_outcome::Refused;
+    auto problem = ended.problem.value_or(failure { failure_kind::EndpointBroke, ended.endpoint.value });
+    end(std::move(call.context), hasNotRun ? notRun(std::move(problem)) : unknownOutcome(std::move(problem)), context);
+}
+
+bool placement_controller::mayTryAgain(const running_call& call, const attempt_ended& ended) const
+{
+    if (call.isAbandoned || call.attempts >= attemptLimit || ended.relayed.value > 0)
+        return false;
+    return ended.outcome != attempt_outcome::Broken || call.context.isRepeatable;
+}
+
+void placement_controller::receive(const peer_received& received, decision_context& context)
+{
+    const auto poolKeyOf = [](const peer_message& message) -> std::optional<wire_key> {
+        if (const auto* report = std::get_if<slot_report>(&message))
+            return report->pool;
+        if (const auto* grant = std::get_if<slot_grant>(&message))
+            return grant->pool;
+        return std::nullopt;
+    };
+    const auto key = poolKeyOf(received.message);
+    if (!key)
+        return;
+    for (auto& [id, pool] : m_pools) {
+        if (wireKeyOf(id) == *key)
+            pool.strategy->receive(received.from, received.message, pool.view, context.now);
+    }
+}
+
+void placement_controller::refreshViews()
+{
+    const auto document = m_configuration.current();
+    if (!document)
+        return;
+    for (const auto& [id, pool] : document->pools) {
+        auto& state = m_pools[id];
+        if (!state.strategy)
+            state.strategy = makeCapacityStrategy(m_settings.strategy);
+        refreshPool(state, pool);
+    }
+}
+
+void placement_controller::refreshPool(pool_state& state, const endpoint_pool& pool)
+{
+    const auto document = m_configuration.current();
+    auto old = std::exchange(state.view, {});
+    auto& view = state.view;
+    view.pool = pool.id;
+    view.self = m_settings.self;
+    view.domain = m_settings.domain;
+    view.document = document->current;
+    view.beat = pool.beat;
+    view.lease = pool.lease;
+    for (const auto& [id, account] : document->accounts) {
+        account_backlog row { .account = id, .share = account.share };
+        if (const auto* before = findAccount(old, id)) {
+            row = *before;
+            row.share = account.share;
+        }
+        view.accounts.push_back(std::move(row));
+    }
+    for (const auto& [id, endpoint] : document->endpoints) {
+        if (endpoint.pool != pool.id)
+            continue;
+        endpoint_capacity row { .endpoint = id, .domain = endpoint.domain, .slots = endpoint.slots };
+        if (const auto* before = findEndpoint(old, id))
+            row.running = before->running;
+        row.isUsable = !m_membership.isLeaving(id);
+        view.endpoints.push_back(std::move(row));
+    }
+    for (const auto& [id, vm] : m_membership.members().entryVms)
+        view.routers.push_back({ id, vm.domain, id == m_settings.self || m_membership.connectedPeers().contains(id) });
+}
+
+void placement_controller::dropOrphans(decision_context& context)
+{
+    const auto document = m_configuration.current();
+    if (!document)
+        return;
+    for (auto& [id, pool] : m_pools) {
+        for (auto& [account, queue] : pool.queues) {
+            if (document->accounts.contains(account) && document->pools.contains(id))
+                continue;
+            while (auto request = queue.pop())
+                end(std::move(*request), notRun({ failure_kind::UnknownAccount, account.value }), context);
+        }
+        std::erase_if(pool.queues, [&](const auto& entry) { return !document->accounts.contains(entry.first); });
+    }
+    std::erase_if(m_pools, [&](const auto& entry) { return !document->pools.contains(entry.first); });
+}
+
+void placement_controller::placeWaiting(pool_state& pool, decision_context& context)
+{
+    while (const auto choice = pool.strategy->choose(pool.view, context.now))
+        start(pool, *choice, context);
+}
+
+void placement_controller::start(pool_state& pool, const placement_choice& choice, decision_context& context)
+{
+    auto request = pool.queues[choice.account].pop();
+    KUMQUATBEAM_INVARIANT(request.has_value());
+    auto* account = findAccount(pool.view, choice.account);
+    auto* endpoint = findEndpoint(pool.view, choice.endpoint);
+    KUMQUATBEAM_INVARIANT(account && endpoint && endpoint->isUsable && endpoint->running < endpoint->slots);
+    --account->waiting;
+    ++account->running;
+    endpoint->running += slot_count { 1 };
+
+    context.log.placed({ request->id, choice.account, pool.view.pool, choice.endpoint, choice.reason, choice.runnerUp,
+        choice.runnerUpReason });
+    const auto& description = m_configuration.current()->endpoints.at(choice.endpoint);
+    start_attempt attempt {
+        .id = request->id,
+        .to = { choice.endpoint, description.address, description.port },
+        .call = request->call,
+        .sendBefore = std::min(choice.sendBefore, request->deadline),
+        .deadline = request->deadline,
+        .isBuffered = !request->isRepeatable,
+    };
+    int attempts = 1;
+    if (const auto before = m_attemptsBefore.extract(request->id))
+        attempts += before.mapped();
+    const auto id = request->id;
+    m_running.emplace(id, running_call { std::move(*request), choice.endpoint, attempts });
+    context.commands.send(endpoint_command { std::move(attempt) });
+}
+
+void placement_controller::expire(pool_state& pool, decision_context& context)
+{
+    for (auto& [id, queue] : pool.queues) {
+        for (auto& request : queue.removeExpired(context.now)) {
+            --findAccount(pool.view, id)->waiting;
+            end(std::move(request), notRun({ failure_kind::DeadlinePassed }), context);
+        }
+    }
+}
+
+void placement_controller::sendBeats(pool_state& pool, decision_context& context)
+{
+    if (context.now < pool.strategy->nextBeat())
+        return;
+    for (auto& message : pool.strategy->beat(pool.view, context.now))
+        context.commands.send(peer_command { send_to_peer { std::move(message.to), std::move(message.message) } });
+}
+
+void placement_controller::end(request_context request, call_reply reply, decision_context& context)
+{
+    m_attemptsBefore.erase(request.id);
+    if (reply.problem)
+        context.log.refused({ request.id, request.account, request.call->pool, name(), *reply.problem });
+    context.raised.emplace_back(request_ended { std::move(request), std::move(reply) });
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/controllers/reply_controller.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "kumquatbeam/controllers/controller.hpp"
+
+namespace kumquatbeam {
+
+/// Sees to it that each ended request's reply goes to where the request came from. It keeps no state.
+class reply_controller final : public controller {
+public:
+    std::string_view name() const override { return "reply"; }
+    void handle(const decision_event&, decision_context&) override;
+};
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/controllers/status_report.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "kumquatbeam/types/ids.hpp"
+#include "kumquatbeam/types/units.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace kumquatbeam {
+
+/// One account in one pool, as this router sees it.
+struct account_status {
+    pool_id pool;
+    client_account_id account;
+    account_share share;
+    std::int64_t waiting = 0;
+    std::int64_t running = 0;
+    service_cost served;
+};
+
+/// One endpoint, as this router sees it.
+struct endpoint_state {
+    endpoint_id endpoint;
+    pool_id pool;
+    slot_count slots;
+    slot_count running;
+    bool isLeaving = false;
+};
+
+/// One peer, as this router sees it.
+struct peer_status {
+    entry_vm_id peer;
+    bool isConnected = false;
+    revision document;
+};
+
+/// What an operator sees of a router.
+struct status_report {
+    entry_vm_id self;
+    failure_domain_id domain;
+    incarnation life;
+    revision document;
+    revision members;
+    bool isReady = false;
+    bool isDraining = false;
+    std::string strategy;
+    std::vector<account_status> accounts;
+    std::vector<endpoint_state> endpoints;
+    std::vector<peer_status> peers;
+};
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/decisions/account_queue.cpp
@@ -0,0 +1,69 @@
+#include "kumquatbeam/decisions/account_queue.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquatbeam {
+
+void account_queue::push(request_context context)
+{
+    m_classes.at(static_cast<std::size_t>(context.call->urgencyClass)).push_back(std::move(context));
+}
+
+std::optional<request_context> account_queue::pop()
+{
+    for (auto waiting = m_classes.rbegin(); waiting != m_classes.rend(); ++waiting) {
+        if (waiting->empty())
+            continue;
+        auto first = std::move(waiting->front());
+        waiting->pop_front();
+        return first;
+    }
+    return std::nullopt;
+}
+
+std::optional<request_context> account_queue::remove(request_id id)
+{
+    for (auto& waiting : m_classes) {
+        const auto found = std::find_if(
+            waiting.begin(), waiting.end(), [id](const request_context& context) { return context.id == id; });
+        if (found == waiting.end())
+            continue;
+        auto removed = std::move(*found);
+        waiting.erase(found);
+        return removed;
+    }
+    return std::nullopt;
+}
+
+std::vector<request_context> account_queue::removeExpired(time_point now)
+{
+    std::vector<request_context> expired;
+    for (auto& waiting : m_classes) {
+        const auto firstExpired = std::stable_partition(
+            waiting.begin(), waiting.end(), [now](const request_context& context) { return context.deadline > now; });
+        std::move(firstExpired, waiting.end(), std::back_inserter(expired));
+        waiting.erase(firstExpired, waiting.end());
+    }
+    return expired;
+}
+
+time_point account_queue::nextDeadline() const
+{
+    time_point earliest = never;
+    for (const auto& waiting : m_classes) {
+        for (const auto& context : waiting)
+            earliest = std::min(earliest, context.deadline);
+    }
+    return earliest;
+}
+
+std::size_t account_queue::size() const
+{
+    std::size_t total = 0;
+    for (const auto& waiting : m_classes)
+        total += waiting.size();
+    return total;
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/decisions/capacity_strategy.cpp
@@ -0,0 +1,38 @@
+#include "kumquatbeam/decisions/capacity_strategy.hpp"
+
+#include "kumquatbeam/decisions/local_strategy.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace kumquatbeam {
+
+namespace {
+
+    /// How to make the strategy that a settings file names.
+    struct strategy_row {
+        std::string_view name;
+        std::unique_ptr<capacity_strategy> (*make)();
+    };
+
+    constexpr auto strategyTable = std::to_array<strategy_row>({
+        { "local-only",
+            [] { return std::unique_ptr<capacity_strategy>(new local_strategy(slot_division::WholePool)); } },
+        { "static-slices",
+            [] { return std::unique_ptr<capacity_strategy>(new local_strategy(slot_division::StaticSlice)); } },
+    });
+
+} // namespace
+
+void capacity_strategy::receive(const entry_vm_id&, const peer_message&, const pool_view&, time_point) { }
+
+std::vector<addressed_message> capacity_strategy::beat(const pool_view&, time_point) { return {}; }
+
+std::unique_ptr<capacity_strategy> makeCapacityStrategy(std::string_view name)
+{
+    const auto row = std::find_if(strategyTable.begin(), strategyTable.end(),
+        [name](const strategy_row& candidate) { return candidate.name == name; });
+    return row == strategyTable.end() ? nullptr : row->make();
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/decisions/local_strategy.cpp
@@ -0,0 +1,84 @@
+#include "kumquatbeam/decisions/local_strategy.hpp"
+
+#include <algorithm>
+
+namespace kumquatbeam {
+
+namespace {
+
+    /// Whether `left` has had less service for its share than `right`.
+    bool isServedLess(const account_backlog& left, const account_backlog& right)
+    {
+        const auto leftScaled = static_cast<double>(left.served.value) / static_cast<double>(left.share.value);
+        const auto rightScaled = static_cast<double>(right.served.value) / static_cast<double>(right.share.value);
+        return leftScaled < rightScaled;
+    }
+
+} // namespace
+
+const account_backlog* leastServedAccount(const pool_view& view)
+{
+    const account_backlog* best = nullptr;
+    for (const auto& account : view.accounts) {
+        if (account.waiting > 0 && (!best || isServedLess(account, *best)))
+            best = &account;
+    }
+    return best;
+}
+
+slot_count staticSlice(const pool_view& view, std::size_t endpointIndex)
+{
+    const auto self = std::find_if(
+        view.routers.begin(), view.routers.end(), [&](const router_presence& row) { return row.router == view.self; });
+    if (self == view.routers.end())
+        return {};
+    const auto routers = static_cast<std::int32_t>(view.routers.size());
+    const auto place = static_cast<std::int32_t>(self - view.routers.begin());
+    const auto slots = view.endpoints[endpointIndex].slots.value;
+    const auto turn
+        = static_cast<std::int32_t>((static_cast<std::size_t>(place) + endpointIndex) % view.routers.size());
+    return { slots / routers + (turn < slots % routers ? 1 : 0) };
+}
+
+std::string_view local_strategy::name() const
+{
+    return m_division == slot_division::WholePool ? "local-only" : "static-slices";
+}
+
+std::optional<placement_choice> local_strategy::choose(const pool_view& view, time_point)
+{
+    const auto* account = leastServedAccount(view);
+    if (!account)
+        return std::nullopt;
+    const endpoint_capacity* best = nullptr;
+    const endpoint_capacity* second = nullptr;
+    for (std::size_t index = 0; index < view.endpoints.size(); ++index) {
+        const auto& endpoint = view.endpoints[index];
+        if (!endpoint.isUsable || endpoint.running >= slotsAt(view, index))
+            continue;
+        if (!best || endpoint.running < best->running) {
+            second = best;
+            best = &endpoint;
+        } else if (!second || endpoint.running < second->running) {
+            second = &endpoint;
+        }
+    }
+    if (!best)
+        return std::nullopt;
+    placement_choice choice {
+        .account = account->account, .endpoint = best->endpoint, .reason = "least service by share, fewest calls"
+    };
+    if (second) {
+        choice.runnerUp = second->endpoint;
+        choice.runnerUpReason = "more calls";
+    }
+    return choice;
+}
+
+slot_count local_strategy::slotsAt(const pool_view& view, std::size_t endpointIndex) const
+{
+    return m_division == slot_division::WholePool ? view.endpoints[endpointIndex].slots
+                                                  : staticSlice(view, endpointIndex);
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/filters/pool_filter.cpp
@@ -0,0 +1,17 @@
+#include "kumquatbeam/filters/pool_filter.hpp"
+
+#include "kumquatbeam/controllers/configuration_controller.hpp"
+
+namespace kumquatbeam {
+
+std::optional<call_reply> pool_filter::apply(request_context& context, time_point) const
+{
+    const auto& pools = m_configuration.current()->pools;
+    const auto pool = pools.find(context.call->pool);
+    if (pool == pools.end())
+        return notRun({ failure_kind::UnknownPool, "path", context.call->pool.value });
+    context.isRepeatable = pool->second.isRepeatable || context.call->effect == call_effect::Read;
+    return std::nullopt;
+}
+
+} // namespace kumquatbeam
