--- /dev/null
+++ b/apps/exit_code.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+namespace kumquatbeam {
+
+/// @{ Exit codes of every program.
+inline constexpr int exitOk = 0;
+inline constexpr int exitRefused = 1;
+inline constexpr int exitUsage = 2;
+inline constexpr int exitSettings = 3;
+inline constexpr int exitUnreachable = 4;
+/// @}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/apps/load.cpp
@@ -0,0 +1,56 @@
+#include "exit_code.hpp"
+
+#include "kumquatbeam/load/load_run.hpp"
+#include "kumquatbeam/settings/text_file.hpp"
+
+#include <docopt/docopt.h>
+
+#include <iostream>
+
+namespace {
+
+constexpr char usage[] = R"(kumquatbeam-load: sends a mix of calls to a fleet and reports what came of them.
+
+Usage:
+  kumquatbeam-load --routers=LIST --mix=FILE [--seconds=N] [--seed=S]
+  kumquatbeam-load --help
+  kumquatbeam-load --version
+
+Options:
+  --routers=LIST  Callers' addresses of the routers: ADDRESS:PORT,ADDRESS:PORT.
+  --mix=FILE      The streams of calls, in INI.
+  --seconds=N     Length of the run [default: 10].
+  --seed=S        Seed of the random choices [default: 1].
+  --help          Show this text.
+  --version       Show the version.
+
+Prints one JSON object a line for each stream. Exit codes: 0 finished, 2 wrong command line, 3 broken mix.
+)";
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    using namespace kumquatbeam;
+    const auto arguments
+        = docopt::docopt(usage, { argv + 1, argv + argc }, true, "kumquatbeam-load " KUMQUATBEAM_VERSION);
+    load_plan plan { .routers = parseTargets(arguments.at("--routers").asString()) };
+    if (plan.routers.empty()) {
+        std::cerr << "--routers: allowed ADDRESS:PORT,ADDRESS:PORT\n";
+        return exitUsage;
+    }
+    plan.length = std::chrono::seconds(arguments.at("--seconds").asLong());
+    plan.seed = static_cast<std::uint64_t>(arguments.at("--seed").asLong());
+    const auto text = readTextFile(arguments.at("--mix").asString());
+    if (!text.ok()) {
+        std::cerr << text.status().message() << "\n";
+        return exitSettings;
+    }
+    auto mix = parseLoadMix(*text);
+    for (const auto& fault : mix.faults)
+        std::cerr << "mix: " << describe(fault) << "\n";
+    if (!mix.faults.empty())
+        return exitSettings;
+    std::cout << load_run(std::move(plan), std::move(mix.streams)).run();
+    return exitOk;
+}
--- /dev/null
+++ b/apps/router.cpp
@@ -0,0 +1,61 @@
+#include "exit_code.hpp"
+
+#include "kumquatbeam/duties/router_process.hpp"
+#include "kumquatbeam/runtime/log_writer.hpp"
+#include "kumquatbeam/settings/router_settings.hpp"
+#include "kumquatbeam/settings/text_file.hpp"
+
+#include <docopt/docopt.h>
+
+#include <iostream>
+
+namespace {
+
+constexpr char usage[] = R"(kumquatbeam-router: the router daemon.
+
+Usage:
+  kumquatbeam-router --settings=FILE
+  kumquatbeam-router --help
+  kumquatbeam-router --version
+
+Options:
+  --settings=FILE  Settings of this process, in INI.
+  --help           Show this text.
+  --version        Show the version.
+
+Exit codes: 0 finished after a shutdown, 2 wrong command line, 3 broken settings, 4 an address cannot be listened on.
+)";
+
+int printFaults(const std::vector<kumquatbeam::failure>& faults)
+{
+    for (const auto& fault : faults)
+        std::cerr << "settings: " << describe(fault) << "\n";
+    return kumquatbeam::exitSettings;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    using namespace kumquatbeam;
+    const auto arguments
+        = docopt::docopt(usage, { argv + 1, argv + argc }, true, "kumquatbeam-router " KUMQUATBEAM_VERSION);
+    const auto text = readTextFile(arguments.at("--settings").asString());
+    if (!text.ok())
+        return printFaults({ failureOf(text.status()).value_or(failure {}) });
+    std::vector<failure> faults;
+    const auto settings = parseRouterSettings(*text, faults);
+    if (!settings.ok())
+        return printFaults(faults);
+
+    const log_sink sink(*settings);
+    log_writer log;
+    router_process process(*settings, drawIncarnation(), log);
+    const auto listening = process.listen();
+    if (!listening.ok()) {
+        std::cerr << listening.message() << "\n";
+        return exitUnreachable;
+    }
+    process.run();
+    return exitOk;
+}
--- /dev/null
+++ b/src/kumquatbeam/codec/http_names.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+namespace kumquatbeam {
+
+/// @{ Header fields that callers and the router use beside the standard ones.
+inline constexpr char deadlineField[] = "Kumquatbeam-Deadline-Ms";
+inline constexpr char urgencyField[] = "Kumquatbeam-Urgency";
+inline constexpr char ticketField[] = "Kumquatbeam-Ticket";
+inline constexpr char affinityField[] = "Kumquatbeam-Affinity";
+inline constexpr char outcomeField[] = "Kumquatbeam-Outcome";
+inline constexpr char failureField[] = "Kumquatbeam-Failure";
+/// @}
+
+/// @{ Header fields between the router and endpoints.
+inline constexpr char streamField[] = "Stream-Id";
+inline constexpr char resumeField[] = "Resume-At";
+inline constexpr char notRunField[] = "Not-Run";
+inline constexpr char fencingField[] = "Fencing-Number";
+/// @}
+
+/// Header field that gives the revision of what the platform serves.
+inline constexpr char revisionField[] = "Revision";
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/codec/status_json.cpp
@@ -0,0 +1,37 @@
+#include "kumquatbeam/codec/status_json.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace kumquatbeam {
+
+std::string encodeStatus(const status_report& report)
+{
+    nlohmann::ordered_json json {
+        { "entry_vm", report.self.value },
+        { "domain", report.domain.value },
+        { "incarnation", report.life.value },
+        { "document_revision", report.document.value },
+        { "members_revision", report.members.value },
+        { "ready", report.isReady },
+        { "draining", report.isDraining },
+        { "strategy", report.strategy },
+    };
+    json["accounts"] = nlohmann::ordered_json::array();
+    for (const auto& row : report.accounts) {
+        json["accounts"].push_back(
+            { { "pool", row.pool.value }, { "account", row.account.value }, { "share_thousandths", row.share.value },
+                { "waiting", row.waiting }, { "running", row.running }, { "served_slot_us", row.served.value } });
+    }
+    json["endpoints"] = nlohmann::ordered_json::array();
+    for (const auto& row : report.endpoints) {
+        json["endpoints"].push_back({ { "endpoint", row.endpoint.value }, { "pool", row.pool.value },
+            { "slots", row.slots.value }, { "running", row.running.value }, { "leaving", row.isLeaving } });
+    }
+    json["peers"] = nlohmann::ordered_json::array();
+    for (const auto& row : report.peers)
+        json["peers"].push_back({ { "entry_vm", row.peer.value }, { "connected", row.isConnected },
+            { "document_revision", row.document.value } });
+    return json.dump(2) + "\n";
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/codec/status_json.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "kumquatbeam/controllers/status_report.hpp"
+
+#include <string>
+
+namespace kumquatbeam {
+
+/// A status report as JSON.
+std::string encodeStatus(const status_report&);
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/duties/callers_duty.cpp
@@ -0,0 +1,82 @@
+#include "kumquatbeam/duties/callers_duty.hpp"
+
+#include "kumquatbeam/duties/listen.hpp"
+#include "kumquatbeam/duties/ring_sizes.hpp"
+#include "kumquatbeam/types/event_handlers.hpp"
+
+#include <utility>
+
+namespace kumquatbeam {
+
+namespace asio = boost::asio;
+
+callers_duty::callers_duty(const router_settings& settings, duty_links& links)
+    : m_settings(settings)
+    , m_links(links)
+    , m_duty("callers", callersRing(settings))
+    , m_acceptor(m_duty.context())
+{
+}
+
+absl::Status callers_duty::listen() { return listenOn(m_acceptor, m_settings.callerAddress, m_settings.callerPort); }
+
+void callers_duty::start()
+{
+    accept();
+    m_duty.start([this](caller_command command) { handle(std::move(command)); });
+}
+
+std::optional<request_id> callers_duty::open(std::shared_ptr<caller_session> session)
+{
+    if (m_inProgress.size() >= static_cast<std::size_t>(m_settings.requestLimit))
+        return std::nullopt;
+    const request_id id { ++m_lastRequest };
+    m_inProgress.emplace(id, std::move(session));
+    return id;
+}
+
+void callers_duty::close(request_id id) { m_inProgress.erase(id); }
+
+bool callers_duty::submit(request_id id, call_request call)
+{
+    return m_links.decisions->tryPost(request_arrived { id, std::make_shared<const call_request>(std::move(call)) });
+}
+
+void callers_duty::abandon(request_id id) { m_links.decisions->post(request_abandoned { id }); }
+
+void callers_duty::acknowledgePiece(request_id id) { m_links.endpoints->post(piece_consumed { id }); }
+
+void callers_duty::accept()
+{
+    m_acceptor.async_accept([this](boost::system::error_code error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
+        if (!error) {
+            socket.set_option(asio::ip::tcp::no_delay(true), error);
+            std::make_shared<caller_session>(std::move(socket), *this)->start();
+        }
+        accept();
+    });
+}
+
+void callers_duty::handle(caller_command command)
+{
+    const auto deliver = [this](auto&& message) {
+        const auto found = m_inProgress.find(message.id);
+        if (found == m_inProgress.end())
+            return;
+        const auto session = found->second;
+        session->deliver(std::forward<decltype(message)>(message));
+    };
+    const event_handlers handlers {
+        [&](reply_to_caller&& reply) { deliver(std::move(reply)); },
+        [&](answer_head&& head) { deliver(std::move(head)); },
+        [&](answer_piece&& piece) { deliver(std::move(piece)); },
+        [&](answer_end&& end) { deliver(std::move(end)); },
+        [&](set_ready&& ready) { m_isReady = ready.isReady; },
+        [&](stop_accepting&&) { m_acceptor.close(); },
+    };
+    std::visit(handlers, std::move(command));
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/duties/decisions_duty.cpp
@@ -0,0 +1,60 @@
+#include "kumquatbeam/duties/decisions_duty.hpp"
+
+#include "kumquatbeam/duties/ring_sizes.hpp"
+
+#include <utility>
+
+namespace kumquatbeam {
+
+decisions_duty::decisions_duty(const router_settings& settings, incarnation life, duty_links& links, decision_log& log)
+    : m_links(links)
+    , m_duty("decisions", decisionsRing(settings))
+    , m_timer(m_duty.context())
+    , m_core(settings, life, *this, log)
+{
+}
+
+void decisions_duty::start()
+{
+    m_duty.start([this](const decision_event& event) { handle(event); });
+}
+
+void decisions_duty::send(caller_command command) { m_links.callers->post(std::move(command)); }
+
+void decisions_duty::send(endpoint_command command) { m_links.endpoints->post(std::move(command)); }
+
+void decisions_duty::send(peer_command command)
+{
+    // A peer that does not keep up misses messages: each is either said again or ends in a deadline.
+    static_cast<void>(m_links.peers->tryPost(std::move(command)));
+}
+
+void decisions_duty::send(operator_command command) { m_links.operators->post(std::move(command)); }
+
+void decisions_duty::handle(const decision_event& event)
+{
+    m_core.handle(event, clock::now());
+    armTimer();
+}
+
+void decisions_duty::armTimer()
+{
+    const auto next = m_core.nextDeadline();
+    if (next == m_armedFor)
+        return;
+    m_armedFor = next;
+    if (next == never) {
+        m_timer.cancel();
+        return;
+    }
+    m_timer.expires_at(next);
+    m_timer.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        m_armedFor = never;
+        m_core.onDeadline(clock::now());
+        armTimer();
+    });
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/duties/endpoints_duty.cpp
@@ -0,0 +1,89 @@
+#include "kumquatbeam/duties/endpoints_duty.hpp"
+
+#include "kumquatbeam/duties/ring_sizes.hpp"
+#include "kumquatbeam/types/event_handlers.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+namespace kumquatbeam {
+
+endpoints_duty::endpoints_duty(const router_settings& settings, incarnation life, duty_links& links)
+    : m_settings(settings)
+    , m_life(life)
+    , m_links(links)
+    , m_duty("endpoints", endpointsRing(settings))
+{
+}
+
+void endpoints_duty::start()
+{
+    m_duty.start([this](endpoint_command command) { handle(std::move(command)); });
+}
+
+void endpoints_duty::relay(caller_command command) { m_links.callers->post(std::move(command)); }
+
+void endpoints_duty::finish(attempt_ended ended)
+{
+    m_attempts.erase(ended.id);
+    m_links.decisions->post(std::move(ended));
+}
+
+std::string endpoints_duty::streamIdOf(request_id id) const
+{
+    return absl::StrCat(m_settings.self.value, ".", absl::Hex(m_life.value), ".", id.value);
+}
+
+void endpoints_duty::handle(endpoint_command command)
+{
+    const auto withSession = [this](request_id id, auto action) {
+        const auto found = m_attempts.find(id);
+        if (found == m_attempts.end())
+            return;
+        const auto session = found->second;
+        action(*session);
+    };
+    const event_handlers handlers {
+        [&](start_attempt&& attempt) { begin(std::move(attempt)); },
+        [&](cancel_attempt&& cancelled) {
+            withSession(cancelled.id, [](endpoint_session& session) { session.cancel(); });
+        },
+        [&](piece_consumed&& consumed) {
+            withSession(consumed.id, [](endpoint_session& session) { session.pieceConsumed(); });
+        },
+        [&](watch_endpoints&& watched) { watch(watched); },
+    };
+    std::visit(handlers, std::move(command));
+}
+
+void endpoints_duty::begin(start_attempt attempt)
+{
+    const auto id = attempt.id;
+    const auto session = std::make_shared<endpoint_session>(m_duty.context(), *this, std::move(attempt));
+    m_attempts.emplace(id, session);
+    session->start();
+}
+
+void endpoints_duty::watch(const watch_endpoints& watched)
+{
+    std::map<endpoint_id, std::shared_ptr<load_probe>> probes;
+    for (const auto& endpoint : watched.endpoints) {
+        if (auto known = m_probes.extract(endpoint.endpoint)) {
+            probes.insert(std::move(known));
+            continue;
+        }
+        const auto probe = std::make_shared<load_probe>(
+            m_duty.context(), m_settings.sourceAddress, endpoint, [this](load_observed observed) {
+                // A full ring drops the observation: the next one says the same.
+                static_cast<void>(m_links.decisions->tryPost(std::move(observed)));
+            });
+        probe->start();
+        probes.emplace(endpoint.endpoint, probe);
+    }
+    for (const auto& [id, probe] : m_probes)
+        probe->stop();
+    m_probes = std::move(probes);
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/duties/listen.cpp
@@ -0,0 +1,28 @@
+#include "kumquatbeam/duties/listen.hpp"
+
+#include "kumquatbeam/types/failure.hpp"
+
+namespace kumquatbeam {
+
+using boost::asio::ip::tcp;
+
+absl::Status listenOn(tcp::acceptor& acceptor, const std::string& address, std::int64_t port)
+{
+    boost::system::error_code error;
+    const auto number = boost::asio::ip::make_address(address, error);
+    if (error)
+        return toStatus({ failure_kind::MalformedValue, "address", address, "an IP number" });
+    const tcp::endpoint local(number, static_cast<std::uint16_t>(port));
+    acceptor.open(local.protocol(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(local, error);
+    if (!error)
+        acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    if (error)
+        return toStatus({ failure_kind::AddressInUse, address + ":" + std::to_string(port), error.message() });
+    return absl::OkStatus();
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/duties/listen.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <absl/status/status.h>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace kumquatbeam {
+
+/// Opens the acceptor on an IP number and port.
+absl::Status listenOn(boost::asio::ip::tcp::acceptor&, const std::string& address, std::int64_t port);
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/duties/operators_duty.cpp
@@ -0,0 +1,92 @@
+#include "kumquatbeam/duties/operators_duty.hpp"
+
+#include "kumquatbeam/codec/status_json.hpp"
+#include "kumquatbeam/duties/listen.hpp"
+#include "kumquatbeam/duties/ring_sizes.hpp"
+#include "kumquatbeam/types/event_handlers.hpp"
+
+#include <csignal>
+#include <utility>
+
+namespace kumquatbeam {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+operators_duty::operators_duty(const router_settings& settings, duty_links& links, std::function<void()> whenFinished)
+    : m_settings(settings)
+    , m_links(links)
+    , m_whenFinished(std::move(whenFinished))
+    , m_duty("operators", operatorsRing())
+    , m_acceptor(m_duty.context())
+    , m_signals(m_duty.context(), SIGTERM, SIGINT)
+{
+}
+
+absl::Status operators_duty::listen()
+{
+    return listenOn(m_acceptor, m_settings.operatorAddress, m_settings.operatorPort);
+}
+
+void operators_duty::start()
+{
+    awaitSignal();
+    accept();
+    m_duty.start([this](operator_command command) { handle(std::move(command)); });
+}
+
+void operators_duty::handle(
+    const std::shared_ptr<operator_session>& session, http::verb method, const std::string& target)
+{
+    if (method == http::verb::get && target == "/status") {
+        const request_id query { ++m_lastQuery };
+        if (!m_links.decisions->tryPost(status_requested { query })) {
+            session->respond(http::status::service_unavailable, "text/plain", "overloaded\n");
+            return;
+        }
+        m_queries.emplace(query, session);
+        return;
+    }
+    if (method == http::verb::post && target == "/drain") {
+        m_links.decisions->post(shutdown_requested {});
+        session->respond(http::status::accepted, "text/plain", "draining\n");
+        return;
+    }
+    session->respond(http::status::not_found, "text/plain", "GET /status or POST /drain\n");
+}
+
+void operators_duty::accept()
+{
+    m_acceptor.async_accept([this](const boost::system::error_code& error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
+        if (!error)
+            std::make_shared<operator_session>(std::move(socket), *this)->start();
+        accept();
+    });
+}
+
+void operators_duty::awaitSignal()
+{
+    m_signals.async_wait([this](const boost::system::error_code& error, int) {
+        if (error)
+            return;
+        m_links.decisions->post(shutdown_requested {});
+        awaitSignal();
+    });
+}
+
+void operators_duty::handle(operator_command command)
+{
+    const event_handlers handlers {
+        [&](status_reply&& reply) {
+            auto query = m_queries.extract(reply.query);
+            if (!query.empty())
+                query.mapped()->respond(http::status::ok, "application/json", encodeStatus(reply.report));
+        },
+        [&](finish_process&&) { m_whenFinished(); },
+    };
+    std::visit(handlers, std::move(command));
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/duties/operators_duty.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "kumquatbeam/controllers/command.hpp"
+#include "kumquatbeam/duties/duty_links.hpp"
+#include "kumquatbeam/runtime/duty.hpp"
+#include "kumquatbeam/sessions/operator_session.hpp"
+#include "kumquatbeam/settings/router_settings.hpp"
+
+#include <absl/status/status.h>
+#include <boost/asio/signal_set.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace kumquatbeam {
+
+/// The duty of answering operators, on an address of its own, and of taking signals.
+class operators_duty final : public operator_host {
+public:
+    operators_duty(const router_settings&, duty_links&, std::function<void()> whenFinished);
+
+    absl::Status listen();
+    void start();
+    void stop() { m_duty.stop(); }
+
+    duty<operator_command>& inbox() { return m_duty; }
+
+private:
+    void handle(const std::shared_ptr<operator_session>&, boost::beast::http::verb, const std::string& target) override;
+
+    void accept();
+    void awaitSignal();
+    void handle(operator_command);
+
+    const router_settings& m_settings;
+    duty_links& m_links;
+    std::function<void()> m_whenFinished;
+    duty<operator_command> m_duty;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::signal_set m_signals;
+    std::map<request_id, std::shared_ptr<operator_session>> m_queries;
+    std::uint64_t m_lastQuery = 0;
+};
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/duties/peers_duty.cpp
@@ -0,0 +1,142 @@
+#include "kumquatbeam/duties/peers_duty.hpp"
+
+#include "kumquatbeam/duties/listen.hpp"
+#include "kumquatbeam/duties/ring_sizes.hpp"
+#include "kumquatbeam/sessions/connect.hpp"
+#include "kumquatbeam/types/event_handlers.hpp"
+#include "kumquatbeam/types/failure.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace kumquatbeam {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr std::chrono::milliseconds reconnectPeriod { 500 };
+
+} // namespace
+
+peers_duty::peers_duty(const router_settings& settings, incarnation life, duty_links& links)
+    : m_settings(settings)
+    , m_life(life)
+    , m_links(links)
+    , m_duty("peers", peersRing())
+    , m_acceptor(m_duty.context())
+    , m_reconnect(m_duty.context())
+{
+}
+
+absl::Status peers_duty::listen() { return listenOn(m_acceptor, m_settings.peerAddress, m_settings.peerPort); }
+
+void peers_duty::start()
+{
+    accept();
+    m_duty.start([this](peer_command command) { handle(std::move(command)); });
+}
+
+peer_greeting peers_duty::greeting() const { return { m_settings.self, m_life, m_settings.domain }; }
+
+bool peers_duty::admit(const std::shared_ptr<peer_session>& session, const peer_greeting& greeting)
+{
+    if (!m_members.contains(greeting.from) || greeting.from == m_settings.self)
+        return false;
+    auto& current = m_sessions[greeting.from];
+    const auto replaced = std::exchange(current, session);
+    if (replaced)
+        replaced->close(toStatus({ failure_kind::DuplicateName, greeting.from.value }));
+    m_links.decisions->post(peer_connected { greeting });
+    return true;
+}
+
+void peers_duty::receive(const entry_vm_id& from, peer_message message)
+{
+    // What a full ring drops is said again by the next beat, or ends in a deadline.
+    static_cast<void>(m_links.decisions->tryPost(peer_received { from, std::move(message) }));
+}
+
+void peers_duty::lose(peer_session& session, const absl::Status&)
+{
+    if (!session.peer())
+        return;
+    const auto& name = session.peer()->from;
+    const auto current = m_sessions.find(name);
+    if (current == m_sessions.end() || current->second.get() != &session)
+        return;
+    m_sessions.erase(current);
+    m_links.decisions->post(peer_lost { name });
+}
+
+void peers_duty::countSent(std::size_t bytes) { m_bytesSent += bytes; }
+
+void peers_duty::accept()
+{
+    m_acceptor.async_accept([this](const boost::system::error_code& error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
+        boost::system::error_code unknown;
+        if (!error && isMemberAddress(socket.remote_endpoint(unknown).address()))
+            std::make_shared<peer_session>(std::move(socket), *this)->start();
+        accept();
+    });
+}
+
+void peers_duty::handle(peer_command command)
+{
+    const event_handlers handlers {
+        [&](set_peers&& peers) { replacePeers(std::move(peers)); },
+        [&](send_to_peer&& message) {
+            const auto session = m_sessions.find(message.to);
+            if (session != m_sessions.end())
+                session->second->send(message.message);
+        },
+    };
+    std::visit(handlers, std::move(command));
+}
+
+void peers_duty::replacePeers(set_peers peers)
+{
+    m_members.clear();
+    for (auto& peer : peers.peers)
+        m_members.emplace(peer.id, peer);
+    connectMissing();
+}
+
+void peers_duty::connectMissing()
+{
+    for (const auto& [id, member] : m_members) {
+        if (m_settings.self < id && !m_sessions.contains(id) && !m_connecting.contains(id))
+            connect(member);
+    }
+    m_reconnect.expires_after(reconnectPeriod);
+    m_reconnect.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            connectMissing();
+    });
+}
+
+void peers_duty::connect(const entry_vm& member)
+{
+    const auto socket = std::make_shared<asio::ip::tcp::socket>(m_duty.context());
+    const auto remote = openTowards(*socket, m_settings.sourceAddress, member.address, member.peerPort);
+    if (!remote)
+        return;
+    m_connecting.insert(member.id);
+    socket->async_connect(*remote, [this, socket, id = member.id](const boost::system::error_code& failed) {
+        m_connecting.erase(id);
+        if (!failed)
+            std::make_shared<peer_session>(std::move(*socket), *this)->start();
+    });
+}
+
+bool peers_duty::isMemberAddress(const asio::ip::address& address) const
+{
+    const auto text = address.to_string();
+    return std::any_of(
+        m_members.begin(), m_members.end(), [&](const auto& entry) { return entry.second.address == text; });
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/duties/peers_duty.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "kumquatbeam/controllers/command.hpp"
+#include "kumquatbeam/duties/duty_links.hpp"
+#include "kumquatbeam/runtime/duty.hpp"
+#include "kumquatbeam/sessions/peer_session.hpp"
+#include "kumquatbeam/settings/router_settings.hpp"
+
+#include <absl/status/status.h>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace kumquatbeam {
+
+/// The duty of speaking with the other daemons. Of two daemons, the one with the smaller name connects.
+class peers_duty final : public peer_host {
+public:
+    peers_duty(const router_settings&, incarnation, duty_links&);
+
+    absl::Status listen();
+    void start();
+    void stop() { m_duty.stop(); }
+
+    duty<peer_command>& inbox() { return m_duty; }
+
+    /// Bytes of frames sent so far. Any thread may call it.
+    std::uint64_t bytesSent() const { return m_bytesSent; }
+
+private:
+    peer_greeting greeting() const override;
+    bool admit(const std::shared_ptr<peer_session>&, const peer_greeting&) override;
+    void receive(const entry_vm_id& from, peer_message) override;
+    void lose(peer_session&, const absl::Status& why) override;
+    void countSent(std::size_t bytes) override;
+
+    void accept();
+    void handle(peer_command);
+    void replacePeers(set_peers);
+    void connectMissing();
+    void connect(const entry_vm&);
+    bool isMemberAddress(const boost::asio::ip::address&) const;
+
+    const router_settings& m_settings;
+    incarnation m_life;
+    duty_links& m_links;
+    duty<peer_command> m_duty;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_reconnect;
+    std::map<entry_vm_id, entry_vm> m_members;
+    std::map<entry_vm_id, std::shared_ptr<peer_session>> m_sessions;
+    std::set<entry_vm_id> m_connecting;
+    std::atomic<std::uint64_t> m_bytesSent = 0;
+};
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/duties/router_process.cpp
@@ -0,0 +1,53 @@
+#include "kumquatbeam/duties/router_process.hpp"
+
+#include <random>
+
+namespace kumquatbeam {
+
+router_process::router_process(const router_settings& settings, incarnation life, decision_log& log)
+    : m_decisions(settings, life, m_links, log)
+    , m_callers(settings, m_links)
+    , m_endpoints(settings, life, m_links)
+    , m_peers(settings, life, m_links)
+    , m_operators(settings, m_links, [this] { m_finished.set_value(); })
+    , m_platform(settings, m_links)
+{
+    m_links
+        = { &m_decisions.inbox(), &m_callers.inbox(), &m_endpoints.inbox(), &m_peers.inbox(), &m_operators.inbox() };
+}
+
+absl::Status router_process::listen()
+{
+    for (auto status : { m_callers.listen(), m_peers.listen(), m_operators.listen() }) {
+        if (!status.ok())
+            return status;
+    }
+    return absl::OkStatus();
+}
+
+void router_process::run()
+{
+    m_decisions.start();
+    m_endpoints.start();
+    m_callers.start();
+    m_peers.start();
+    m_operators.start();
+    m_platform.start();
+    m_finished.get_future().wait();
+    m_platform.stop();
+    m_callers.stop();
+    m_peers.stop();
+    m_endpoints.stop();
+    m_operators.stop();
+    m_decisions.stop();
+}
+
+incarnation drawIncarnation()
+{
+    std::random_device device;
+    const auto high = static_cast<std::uint64_t>(device());
+    constexpr unsigned halfWidth = 32;
+    return { (high << halfWidth) | device() };
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/duties/router_process.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "kumquatbeam/duties/callers_duty.hpp"
+#include "kumquatbeam/duties/decisions_duty.hpp"
+#include "kumquatbeam/duties/duty_links.hpp"
+#include "kumquatbeam/duties/endpoints_duty.hpp"
+#include "kumquatbeam/duties/operators_duty.hpp"
+#include "kumquatbeam/duties/peers_duty.hpp"
+#include "kumquatbeam/duties/platform_duty.hpp"
+#include "kumquatbeam/settings/router_settings.hpp"
+
+#include <absl/status/status.h>
+
+#include <future>
+
+namespace kumquatbeam {
+
+/// A whole router: its duties, joined by their rings.
+class router_process {
+public:
+    router_process(const router_settings&, incarnation, decision_log&);
+
+    /// Listens on every address; nothing runs before all of them are open.
+    absl::Status listen();
+
+    /// Runs until a shutdown has finished.
+    void run();
+
+private:
+    std::promise<void> m_finished;
+    duty_links m_links;
+    decisions_duty m_decisions;
+    callers_duty m_callers;
+    endpoints_duty m_endpoints;
+    peers_duty m_peers;
+    operators_duty m_operators;
+    platform_duty m_platform;
+};
+
+/// Draws the number of a new incarnation.
+incarnation drawIncarnation();
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/load/load_call.cpp
@@ -0,0 +1,111 @@
+#include "kumquatbeam/load/load_call.hpp"
+
+#include "kumquatbeam/codec/http_names.hpp"
+
+#include <absl/strings/str_cat.h>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <utility>
+
+namespace kumquatbeam {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+    constexpr std::chrono::seconds graceAfterDeadline { 10 };
+    constexpr unsigned http11 = 11;
+
+} // namespace
+
+load_work workFor(const load_stream& stream, const std::string& callId, std::int64_t tokens)
+{
+    if (stream.kind == "booking")
+        return { "/order", absl::StrCat("order=", callId, " ms=", stream.pace.count()),
+            absl::StrCat("order ", callId, " done\n") };
+    load_work work { "/generate", absl::StrCat("id=", callId, " tokens=", tokens, " ms=", stream.pace.count()), {} };
+    for (std::int64_t index = 0; index < tokens; ++index)
+        absl::StrAppend(&work.expected, callId, ":", index, " ");
+    absl::StrAppend(&work.expected, "end ", callId, " ", tokens, "\n");
+    return work;
+}
+
+load_call::load_call(boost::asio::io_context& context, const load_stream& plan, load_work work, completion whenComplete)
+    : m_plan(plan)
+    , m_work(std::move(work))
+    , m_completion(std::move(whenComplete))
+    , m_stream(context)
+    , m_startedAt(clock::now())
+{
+}
+
+void load_call::start(const boost::asio::ip::tcp::endpoint& router)
+{
+    m_stream.expires_after(m_plan.deadline + graceAfterDeadline);
+    m_stream.async_connect(router, [self = shared_from_this()](beast::error_code error) { self->send(error); });
+}
+
+void load_call::send(beast::error_code error)
+{
+    if (error) {
+        complete({});
+        return;
+    }
+    m_request = { http::verb::post, absl::StrCat("/v1/call/", m_plan.pool.value, m_work.target), http11 };
+    m_request.set(http::field::host, "router");
+    m_request.set(http::field::authorization, "Bearer " + m_plan.credential);
+    m_request.set(http::field::content_type, "text/plain");
+    m_request.set(deadlineField, std::to_string(m_plan.deadline.count()));
+    m_request.set(urgencyField, m_plan.urgencyName);
+    m_request.keep_alive(false);
+    m_request.body() = m_work.body;
+    m_request.prepare_payload();
+    http::async_write(m_stream, m_request,
+        [self = shared_from_this()](beast::error_code failed, std::size_t) { self->readHead(failed); });
+}
+
+void load_call::readHead(beast::error_code error)
+{
+    if (error) {
+        complete({});
+        return;
+    }
+    m_parser.emplace();
+    http::async_read_header(m_stream, m_buffer, *m_parser,
+        [self = shared_from_this()](beast::error_code failed, std::size_t) { self->readBody(failed); });
+}
+
+void load_call::readBody(beast::error_code error)
+{
+    if (error) {
+        complete({});
+        return;
+    }
+    m_firstByteAt = clock::now();
+    http::async_read(m_stream, m_buffer, *m_parser,
+        [self = shared_from_this()](beast::error_code failed, std::size_t) { self->conclude(failed); });
+}
+
+void load_call::conclude(beast::error_code error)
+{
+    const auto& response = m_parser->get();
+    const auto kind = response[outcomeField];
+    load_outcome outcome { .kind = std::string(kind.data(), kind.size()) };
+    // A body that breaks off cannot be told to have run or not.
+    if (error)
+        outcome.kind = "unknown";
+    outcome.isWhole = response.body() == m_work.expected;
+    outcome.firstByte = std::chrono::duration_cast<std::chrono::microseconds>(m_firstByteAt - m_startedAt);
+    outcome.total = std::chrono::duration_cast<std::chrono::microseconds>(clock::now() - m_startedAt);
+    complete(outcome);
+}
+
+void load_call::complete(const load_outcome& outcome)
+{
+    m_stream.close();
+    std::exchange(m_completion, nullptr)(outcome);
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/load/load_run.cpp
@@ -0,0 +1,135 @@
+#include "kumquatbeam/load/load_run.hpp"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include <memory>
+#include <sstream>
+#include <utility>
+
+namespace kumquatbeam {
+
+namespace {
+
+    constexpr std::chrono::microseconds minute = std::chrono::minutes(1);
+
+    /// Pause before a closed loop calls again after a refusal, so that refusals do not make a storm of their own.
+    constexpr std::chrono::milliseconds pauseAfterRefusal { 200 };
+
+    std::vector<std::size_t> routersOf(const load_stream& stream, std::size_t count)
+    {
+        std::vector<std::size_t> chosen;
+        std::istringstream places(stream.routers);
+        for (std::size_t place = 0; places >> place;) {
+            if (place < count)
+                chosen.push_back(place);
+        }
+        for (std::size_t place = 0; chosen.empty() && place < count; ++place) {
+            for (std::size_t all = 0; all < count; ++all)
+                chosen.push_back(all);
+        }
+        return chosen;
+    }
+
+} // namespace
+
+load_run::load_run(load_plan plan, std::vector<load_stream> streams)
+    : m_plan(std::move(plan))
+    , m_random(m_plan.seed)
+{
+    const auto now = clock::now();
+    for (auto& stream : streams) {
+        auto routers = routersOf(stream, m_plan.routers.size());
+        const auto length = stream.endsAfter.count() > 0 ? stream.endsAfter : std::chrono::milliseconds(m_plan.length);
+        const auto startsAt = now + stream.startsAfter;
+        m_streams.push_back({ std::move(stream), std::move(routers), {}, boost::asio::steady_timer(m_context), startsAt,
+            now + length });
+    }
+}
+
+std::string load_run::run()
+{
+    for (auto& stream : m_streams) {
+        stream.nextArrival.expires_at(stream.startsAt);
+        stream.nextArrival.async_wait([this, &stream](const boost::system::error_code& error) {
+            if (!error)
+                startStream(stream);
+        });
+    }
+    m_context.run();
+    std::string report;
+    for (const auto& stream : m_streams)
+        absl::StrAppend(&report, stream.tally.toJson(stream.plan.name, stream.plan.account.value), "\n");
+    return report;
+}
+
+void load_run::startStream(stream_state& stream)
+{
+    for (std::int64_t open = 0; open < stream.plan.outstanding; ++open)
+        call(stream, true);
+    if (stream.plan.perMinute > 0)
+        scheduleArrival(stream);
+}
+
+void load_run::scheduleArrival(stream_state& stream)
+{
+    std::exponential_distribution<double> interval(
+        static_cast<double>(stream.plan.perMinute) / static_cast<double>(minute.count()));
+    const auto pause = std::chrono::microseconds(static_cast<std::int64_t>(interval(m_random)));
+    stream.nextArrival.expires_at(stream.nextArrival.expiry() + pause);
+    if (stream.nextArrival.expiry() >= stream.endsAt)
+        return;
+    stream.nextArrival.async_wait([this, &stream](const boost::system::error_code& error) {
+        if (error)
+            return;
+        call(stream, false);
+        scheduleArrival(stream);
+    });
+}
+
+void load_run::call(stream_state& stream, bool isClosedLoop)
+{
+    if (clock::now() >= stream.endsAt)
+        return;
+    std::uniform_int_distribution<std::int64_t> tokens(
+        stream.plan.tokensLow, std::max(stream.plan.tokensLow, stream.plan.tokensHigh));
+    std::uniform_int_distribution<std::size_t> place(0, stream.routers.size() - 1);
+    const auto& router = m_plan.routers[stream.routers[place(m_random)]];
+    const auto id = absl::StrCat(stream.plan.name, "-", m_plan.seed, "-", ++m_calls);
+    stream.tally.countSent();
+    const auto whenComplete = [this, &stream, isClosedLoop](const load_outcome& outcome) {
+        stream.tally.add(outcome);
+        if (!isClosedLoop)
+            return;
+        if (outcome.kind == "answered") {
+            call(stream, true);
+            return;
+        }
+        const auto pause = std::make_shared<boost::asio::steady_timer>(m_context, pauseAfterRefusal);
+        pause->async_wait([this, &stream, pause](const boost::system::error_code&) { call(stream, true); });
+    };
+    std::make_shared<load_call>(m_context, stream.plan, workFor(stream.plan, id, tokens(m_random)), whenComplete)
+        ->start(router);
+}
+
+std::vector<boost::asio::ip::tcp::endpoint> parseTargets(const std::string& text)
+{
+    std::vector<boost::asio::ip::tcp::endpoint> targets;
+    const std::vector<std::string> words = absl::StrSplit(text, ',');
+    for (const auto& target : words) {
+        const auto colon = target.rfind(':');
+        boost::system::error_code error;
+        int port = 0;
+        if (colon == std::string::npos || !absl::SimpleAtoi(target.substr(colon + 1), &port))
+            return {};
+        const auto address = boost::asio::ip::make_address(target.substr(0, colon), error);
+        constexpr int highestPort = 65535;
+        if (error || port < 1 || port > highestPort)
+            return {};
+        targets.emplace_back(address, static_cast<std::uint16_t>(port));
+    }
+    return targets;
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/load/load_run.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "kumquatbeam/load/load_call.hpp"
+#include "kumquatbeam/load/load_mix.hpp"
+#include "kumquatbeam/load/load_tally.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <list>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace kumquatbeam {
+
+/// Where and how long a load run goes, and the seed of its random choices.
+struct load_plan {
+    std::vector<boost::asio::ip::tcp::endpoint> routers;
+    std::chrono::seconds length { 10 };
+    std::uint64_t seed = 1;
+};
+
+/// Runs a mix against a fleet and tallies the replies.
+class load_run {
+public:
+    load_run(load_plan, std::vector<load_stream>);
+
+    /// Runs to the end, waits for the calls that are still open, and returns one JSON object a line for each stream.
+    std::string run();
+
+private:
+    struct stream_state {
+        load_stream plan;
+        std::vector<std::size_t> routers;
+        load_tally tally;
+        boost::asio::steady_timer nextArrival;
+        time_point startsAt;
+        time_point endsAt;
+    };
+
+    void startStream(stream_state&);
+    void scheduleArrival(stream_state&);
+    void call(stream_state&, bool isClosedLoop);
+
+    load_plan m_plan;
+    boost::asio::io_context m_context;
+    std::mt19937_64 m_random;
+    std::list<stream_state> m_streams;
+    std::uint64_t m_calls = 0;
+};
+
+/// Parses `ADDRESS:PORT,ADDRESS:PORT`; empty when the text is malformed.
+std::vector<boost::asio::ip::tcp::endpoint> parseTargets(const std::string& text);
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/platform/platform_watch.cpp
@@ -0,0 +1,115 @@
+#include "kumquatbeam/platform/platform_watch.hpp"
+
+#include "kumquatbeam/codec/http_names.hpp"
+#include "kumquatbeam/sessions/connect.hpp"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/lexical_cast/try_lexical_convert.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace kumquatbeam {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+    constexpr std::chrono::milliseconds watchWait { 10000 };
+    constexpr std::chrono::milliseconds watchTimeout { 12000 };
+    constexpr std::chrono::milliseconds retryPause { 1000 };
+    constexpr std::uint64_t textLimit = 1024 * 1024;
+    constexpr unsigned http11 = 11;
+
+} // namespace
+
+platform_watch::platform_watch(
+    asio::io_context& context, const router_settings& settings, std::string path, receiver whenRead)
+    : m_context(context)
+    , m_settings(settings)
+    , m_path(std::move(path))
+    , m_receiver(std::move(whenRead))
+    , m_pause(context)
+{
+}
+
+void platform_watch::start() { ask(); }
+
+void platform_watch::ask()
+{
+    m_stream.emplace(m_context);
+    const auto remote = openTowards(
+        m_stream->socket(), m_settings.sourceAddress, m_settings.platformAddress, m_settings.platformPort);
+    if (!remote) {
+        askAgainLater();
+        return;
+    }
+    const auto target
+        = m_path + "?newer-than=" + std::to_string(m_seen.value) + "&wait-ms=" + std::to_string(watchWait.count());
+    m_request = { http::verb::get, target, http11 };
+    m_request.set(http::field::host, m_settings.platformAddress);
+    m_request.keep_alive(false);
+    m_buffer.clear();
+    m_parser.emplace();
+    m_parser->body_limit(textLimit);
+    m_stream->expires_after(watchTimeout);
+    m_stream->async_connect(*remote, [self = shared_from_this()](beast::error_code failed) { self->send(failed); });
+}
+
+void platform_watch::send(beast::error_code error)
+{
+    if (error) {
+        askAgainLater();
+        return;
+    }
+    http::async_write(*m_stream, m_request,
+        [self = shared_from_this()](beast::error_code failed, std::size_t) { self->receive(failed); });
+}
+
+void platform_watch::receive(beast::error_code error)
+{
+    if (error) {
+        askAgainLater();
+        return;
+    }
+    http::async_read(*m_stream, m_buffer, *m_parser,
+        [self = shared_from_this()](beast::error_code failed, std::size_t) { self->conclude(failed); });
+}
+
+void platform_watch::conclude(beast::error_code error)
+{
+    if (error) {
+        askAgainLater();
+        return;
+    }
+    auto response = m_parser->release();
+    if (response.result() == http::status::not_modified) {
+        ask();
+        return;
+    }
+    revision current;
+    const auto stated = response[revisionField];
+    const bool isNewer = response.result() == http::status::ok
+        && boost::conversion::try_lexical_convert(stated, current.value) && current > m_seen;
+    if (!isNewer || !m_receiver(current, std::move(response.body()))) {
+        askAgainLater();
+        return;
+    }
+    m_seen = current;
+    ask();
+}
+
+void platform_watch::askAgainLater()
+{
+    m_stream.reset();
+    m_pause.expires_after(retryPause);
+    m_pause.async_wait([self = shared_from_this()](beast::error_code error) {
+        if (!error)
+            self->ask();
+    });
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/platform/platform_watch.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "kumquatbeam/settings/router_settings.hpp"
+#include "kumquatbeam/types/ids.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace kumquatbeam {
+
+/// Watches one text that the platform publishes. A watch waits at the platform until there is a newer revision.
+class platform_watch : public std::enable_shared_from_this<platform_watch> {
+public:
+    /// Takes a newer text; false means that it could not be taken and must be read again.
+    using receiver = std::function<bool(revision, std::string)>;
+
+    platform_watch(boost::asio::io_context&, const router_settings&, std::string path, receiver);
+
+    void start();
+
+private:
+    void ask();
+    void send(boost::beast::error_code);
+    void receive(boost::beast::error_code);
+    void conclude(boost::beast::error_code);
+    void askAgainLater();
+
+    boost::asio::io_context& m_context;
+    const router_settings& m_settings;
+    std::string m_path;
+    receiver m_receiver;
+    boost::asio::steady_timer m_pause;
+    std::optional<boost::beast::tcp_stream> m_stream;
+    boost::beast::flat_buffer m_buffer;
+    boost::beast::http::request<boost::beast::http::empty_body> m_request;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
+    revision m_seen;
+};
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/runtime/bounded_ring.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "kumquatbeam/types/invariant.hpp"
+
+#include <boost/circular_buffer.hpp>
+
+#include <cstddef>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace kumquatbeam {
+
+/// How many messages a ring holds, and how many of these places are kept for messages that may not be refused.
+struct ring_limits {
+    std::size_t capacity = 0;
+    std::size_t reserved = 0;
+};
+
+/// A bounded queue from any thread to one duty.
+///
+/// `tryPush` is for messages that the sender can refuse or drop when the duty falls behind. `push` is for messages
+/// whose number is bounded by the requests in progress: the reserved places are sized for them, so it never finds the
+/// ring full.
+template <typename Message> class bounded_ring {
+public:
+    explicit bounded_ring(ring_limits limits)
+        : m_limits(limits)
+        , m_messages(limits.capacity)
+    {
+        KUMQUATBEAM_INVARIANT(limits.reserved < limits.capacity);
+    }
+
+    /// Whether a push found the ring empty, so that its reader has to be woken.
+    enum class push_result {
+        Refused,
+        Queued,
+        QueuedFirst,
+    };
+
+    /// Queues the message unless only reserved places are left.
+    push_result tryPush(Message message)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_messages.size() >= m_limits.capacity - m_limits.reserved) {
+            ++m_refused;
+            return push_result::Refused;
+        }
+        return add(std::move(message));
+    }
+
+    /// Queues a message that has a reserved place.
+    push_result push(Message message)
+    {
+        const std::lock_guard lock(m_mutex);
+        KUMQUATBEAM_INVARIANT(!m_messages.full());
+        return add(std::move(message));
+    }
+
+    /// Moves everything that is queued to the end of `messages`.
+    void drainInto(std::vector<Message>& messages)
+    {
+        const std::lock_guard lock(m_mutex);
+        for (auto& message : m_messages)
+            messages.push_back(std::move(message));
+        m_messages.clear();
+    }
+
+    /// Messages that `tryPush` has refused so far.
+    std::size_t refused() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_refused;
+    }
+
+private:
+    push_result add(Message message)
+    {
+        m_messages.push_back(std::move(message));
+        return m_messages.size() == 1 ? push_result::QueuedFirst : push_result::Queued;
+    }
+
+    ring_limits m_limits;
+    mutable std::mutex m_mutex;
+    boost::circular_buffer<Message> m_messages;
+    std::size_t m_refused = 0;
+};
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/runtime/duty.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "kumquatbeam/runtime/bounded_ring.hpp"
+#include "kumquatbeam/runtime/duty_thread.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace kumquatbeam {
+
+/// One duty: a thread with its own I/O context that takes messages from its ring. It sleeps in the kernel until a
+/// message, a socket or a timer is ready.
+template <typename Message> class duty {
+public:
+    using message_handler = std::function<void(Message)>;
+
+    duty(std::string name, ring_limits limits)
+        : m_ring(limits)
+        , m_thread(std::move(name))
+    {
+    }
+
+    boost::asio::io_context& context() { return m_thread.context(); }
+
+    /// Starts the thread; the handler runs on it, once for each message.
+    void start(message_handler handler)
+    {
+        m_handler = std::move(handler);
+        m_thread.start();
+    }
+
+    /// Ends the thread after the handler that is running; what is still in the ring is dropped.
+    void stop() { m_thread.stop(); }
+
+    /// Hands over a message that may be refused. Any thread may call it.
+    [[nodiscard]] bool tryPost(Message message)
+    {
+        const auto result = m_ring.tryPush(std::move(message));
+        wakeAfter(result);
+        return result != bounded_ring<Message>::push_result::Refused;
+    }
+
+    /// Hands over a message that has a reserved place. Any thread may call it.
+    void post(Message message) { wakeAfter(m_ring.push(std::move(message))); }
+
+    std::size_t refused() const { return m_ring.refused(); }
+
+private:
+    void wakeAfter(typename bounded_ring<Message>::push_result result)
+    {
+        if (result == bounded_ring<Message>::push_result::QueuedFirst)
+            boost::asio::post(context(), [this] { handleQueued(); });
+    }
+
+    void handleQueued()
+    {
+        m_ring.drainInto(m_batch);
+        for (auto& message : m_batch)
+            m_handler(std::move(message));
+        m_batch.clear();
+    }
+
+    bounded_ring<Message> m_ring;
+    message_handler m_handler;
+    std::vector<Message> m_batch;
+    duty_thread m_thread;
+};
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/sessions/caller_session.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "kumquatbeam/codec/http_call.hpp"
+#include "kumquatbeam/controllers/command.hpp"
+#include "kumquatbeam/types/ids.hpp"
+#include "kumquatbeam/types/time.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace kumquatbeam {
+
+class caller_session;
+
+/// What a caller session needs from the duty that it runs on.
+class caller_host {
+public:
+    virtual ~caller_host() = default;
+
+    /// Gives the session's request an id under which commands will find it; nothing when too many are in progress.
+    virtual std::optional<request_id> open(std::shared_ptr<caller_session>) = 0;
+
+    /// Forgets a request; commands for it are dropped from now on.
+    virtual void close(request_id) = 0;
+
+    /// Hands a request to the decisions; false when their ring is full.
+    virtual bool submit(request_id, call_request) = 0;
+
+    /// Tells the decisions that the caller has left.
+    virtual void abandon(request_id) = 0;
+
+    /// Tells the endpoint session that a piece has gone out.
+    virtual void acknowledgePiece(request_id) = 0;
+
+    virtual bool isReady() const = 0;
+    virtual std::uint64_t bodyLimit() const = 0;
+};
+
+/// One caller's connection: reads a request, waits for its reply, writes it, reads the next.
+class caller_session : public std::enable_shared_from_this<caller_session> {
+public:
+    caller_session(boost::asio::ip::tcp::socket, caller_host&);
+
+    void start();
+
+    /// @{ Commands for the request that is in progress.
+    void deliver(const reply_to_caller&);
+    void deliver(const answer_head&);
+    void deliver(answer_piece);
+    void deliver(const answer_end&);
+    /// @}
+
+private:
+    /// What is to be written next, and how.
+    struct outgoing {
+        enum class form {
+            Plain,
+            Chunk,
+            LastChunk,
+        };
+        form as = form::Plain;
+        std::string bytes {};
+    };
+
+    void readRequest();
+    void onRead(boost::beast::error_code);
+    void refuse(boost::beast::error_code);
+    void handleRequest();
+    void watchForLeaving();
+    void leave();
+    void writeReply(const call_reply&, bool keepAlive);
+    void enqueue(outgoing);
+    void writeNext();
+    void onWritten(boost::beast::error_code);
+    void finishRequest();
+    void discardRest();
+    void closeConnection();
+
+    caller_host& m_host;
+    boost::beast::tcp_stream m_stream;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+    std::optional<request_id> m_request;
+    std::deque<outgoing> m_outgoing;
+    unsigned m_httpVersion = 11;
+    bool m_keepAlive = false;
+    bool m_hasHeadGone = false;
+    bool m_isLastQueued = false;
+    bool m_isRefusedUnread = false;
+    time_point m_discardUntil = never;
+};
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/sessions/connect.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/system/error_code.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace kumquatbeam {
+
+/// Opens a socket for a connection to an IP number and port, bound to `source` unless that is empty. Returns the remote
+/// end, or nothing when an address is malformed or cannot be bound.
+std::optional<boost::asio::ip::tcp::endpoint> openTowards(
+    boost::asio::ip::tcp::socket&, const std::string& source, const std::string& address, std::int64_t port);
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/sessions/load_probe.cpp
@@ -0,0 +1,108 @@
+#include "kumquatbeam/sessions/load_probe.hpp"
+
+#include "kumquatbeam/codec/load_report.hpp"
+#include "kumquatbeam/sessions/connect.hpp"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace kumquatbeam {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+    constexpr std::chrono::milliseconds probePeriod { 1000 };
+    constexpr std::chrono::milliseconds probeTimeout { 800 };
+    constexpr unsigned http11 = 11;
+
+} // namespace
+
+load_probe::load_probe(
+    asio::io_context& context, std::string sourceAddress, endpoint_address endpoint, observer whenObserved)
+    : m_context(context)
+    , m_sourceAddress(std::move(sourceAddress))
+    , m_endpoint(std::move(endpoint))
+    , m_observer(std::move(whenObserved))
+    , m_timer(context)
+    , m_request(http::verb::get, "/load", http11)
+{
+    m_request.set(http::field::host, m_endpoint.address);
+    m_request.keep_alive(false);
+}
+
+void load_probe::start()
+{
+    m_timer.expires_after(probePeriod);
+    m_timer.async_wait([self = shared_from_this()](beast::error_code error) {
+        if (!error && !self->m_isStopped)
+            self->ask();
+    });
+}
+
+void load_probe::stop()
+{
+    m_isStopped = true;
+    m_timer.cancel();
+    if (m_stream)
+        m_stream->close();
+}
+
+void load_probe::ask()
+{
+    m_buffer.clear();
+    m_response = {};
+    m_stream.emplace(m_context);
+    const auto remote = openTowards(m_stream->socket(), m_sourceAddress, m_endpoint.address, m_endpoint.port);
+    if (!remote) {
+        report(std::nullopt);
+        return;
+    }
+    m_stream->expires_after(probeTimeout);
+    m_stream->async_connect(*remote, [self = shared_from_this()](beast::error_code failed) { self->send(failed); });
+}
+
+void load_probe::send(beast::error_code error)
+{
+    if (error) {
+        report(std::nullopt);
+        return;
+    }
+    http::async_write(*m_stream, m_request,
+        [self = shared_from_this()](beast::error_code failed, std::size_t) { self->receive(failed); });
+}
+
+void load_probe::receive(beast::error_code error)
+{
+    if (error) {
+        report(std::nullopt);
+        return;
+    }
+    http::async_read(*m_stream, m_buffer, m_response,
+        [self = shared_from_this()](beast::error_code failed, std::size_t) { self->conclude(failed); });
+}
+
+void load_probe::conclude(beast::error_code error)
+{
+    if (error || m_response.result() != http::status::ok) {
+        report(std::nullopt);
+        return;
+    }
+    report(parseLoadReport(m_endpoint.endpoint, m_response.body()));
+}
+
+void load_probe::report(std::optional<endpoint_load> load)
+{
+    m_stream.reset();
+    if (m_isStopped)
+        return;
+    m_observer({ m_endpoint.endpoint, std::move(load) });
+    start();
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/sessions/load_probe.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "kumquatbeam/controllers/command.hpp"
+#include "kumquatbeam/controllers/decision_event.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace kumquatbeam {
+
+/// Asks one endpoint for its load again and again until it is stopped.
+class load_probe : public std::enable_shared_from_this<load_probe> {
+public:
+    using observer = std::function<void(load_observed)>;
+
+    load_probe(boost::asio::io_context&, std::string sourceAddress, endpoint_address, observer);
+
+    void start();
+    void stop();
+
+private:
+    void ask();
+    void send(boost::beast::error_code);
+    void receive(boost::beast::error_code);
+    void conclude(boost::beast::error_code);
+    void report(std::optional<endpoint_load>);
+
+    boost::asio::io_context& m_context;
+    std::string m_sourceAddress;
+    endpoint_address m_endpoint;
+    observer m_observer;
+    boost::asio::steady_timer m_timer;
+    std::optional<boost::beast::tcp_stream> m_stream;
+    boost::beast::flat_buffer m_buffer;
+    boost::beast::http::request<boost::beast::http::empty_body> m_request;
+    boost::beast::http::response<boost::beast::http::string_body> m_response;
+    bool m_isStopped = false;
+};
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/sessions/operator_session.cpp
@@ -0,0 +1,46 @@
+#include "kumquatbeam/sessions/operator_session.hpp"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace kumquatbeam {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+    constexpr std::chrono::seconds queryTimeout { 10 };
+
+} // namespace
+
+operator_session::operator_session(boost::asio::ip::tcp::socket socket, operator_host& host)
+    : m_host(host)
+    , m_stream(std::move(socket))
+{
+}
+
+void operator_session::start()
+{
+    m_stream.expires_after(queryTimeout);
+    http::async_read(m_stream, m_buffer, m_request, [self = shared_from_this()](beast::error_code error, std::size_t) {
+        if (!error)
+            self->m_host.handle(self, self->m_request.method(), std::string(self->m_request.target()));
+    });
+}
+
+void operator_session::respond(http::status status, const std::string& type, std::string body)
+{
+    m_response = { status, m_request.version() };
+    m_response.set(http::field::content_type, type);
+    m_response.body() = std::move(body);
+    m_response.keep_alive(false);
+    m_response.prepare_payload();
+    http::async_write(
+        m_stream, m_response, [self = shared_from_this()](beast::error_code, std::size_t) { self->m_stream.close(); });
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/sessions/operator_session.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <memory>
+#include <string>
+
+namespace kumquatbeam {
+
+class operator_session;
+
+/// What an operator session needs from the duty that it runs on.
+class operator_host {
+public:
+    virtual ~operator_host() = default;
+
+    /// Answers the query now or later, by `respond`.
+    virtual void handle(const std::shared_ptr<operator_session>&, boost::beast::http::verb, const std::string& target)
+        = 0;
+};
+
+/// One operator's query.
+class operator_session : public std::enable_shared_from_this<operator_session> {
+public:
+    operator_session(boost::asio::ip::tcp::socket, operator_host&);
+
+    void start();
+    void respond(boost::beast::http::status, const std::string& type, std::string body);
+
+private:
+    operator_host& m_host;
+    boost::beast::tcp_stream m_stream;
+    boost::beast::flat_buffer m_buffer;
+    boost::beast::http::request<boost::beast::http::empty_body> m_request;
+    boost::beast::http::response<boost::beast::http::string_body> m_response;
+};
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/sessions/peer_session.cpp
@@ -0,0 +1,149 @@
+#include "kumquatbeam/sessions/peer_session.hpp"
+
+#include "kumquatbeam/codec/peer_codec.hpp"
+#include "kumquatbeam/types/failure.hpp"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace kumquatbeam {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr std::size_t outgoingLimit = 2 * frameLimit;
+
+    /// A peer that says nothing for this long is taken for lost; heartbeats come more often.
+    constexpr std::chrono::milliseconds silenceLimit { 3000 };
+
+} // namespace
+
+peer_session::peer_session(asio::ip::tcp::socket socket, peer_host& host)
+    : m_host(host)
+    , m_socket(std::move(socket))
+    , m_silence(m_socket.get_executor())
+{
+}
+
+void peer_session::start()
+{
+    boost::system::error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    send(m_host.greeting());
+    expectTraffic();
+    readLength();
+}
+
+void peer_session::send(const peer_message& message)
+{
+    if (m_isClosed)
+        return;
+    auto bytes = encodeFrame(message, clock::now());
+    m_host.countSent(bytes.size());
+    m_outgoingBytes += bytes.size();
+    if (m_outgoingBytes > outgoingLimit) {
+        close(toStatus({ failure_kind::RingFull, "peer" }));
+        return;
+    }
+    m_outgoing.push_back(std::move(bytes));
+    if (m_outgoing.size() == 1)
+        writeNext();
+}
+
+void peer_session::close(const absl::Status& why)
+{
+    if (std::exchange(m_isClosed, true))
+        return;
+    boost::system::error_code ignored;
+    m_silence.cancel();
+    m_socket.close(ignored);
+    m_host.lose(*this, why);
+}
+
+void peer_session::readLength()
+{
+    asio::async_read(m_socket, asio::buffer(m_length),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+            if (error) {
+                self->onError(error);
+                return;
+            }
+            const auto length = decodeFrameLength({ self->m_length.data(), self->m_length.size() });
+            if (length.ok())
+                self->readBody(*length);
+            else
+                self->close(length.status());
+        });
+}
+
+void peer_session::readBody(std::size_t length)
+{
+    m_body.resize(length);
+    asio::async_read(m_socket, asio::buffer(m_body),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+            if (error) {
+                self->onError(error);
+                return;
+            }
+            auto message = decodeFrame(self->m_body, clock::now());
+            if (!message.ok()) {
+                self->close(message.status());
+                return;
+            }
+            self->expectTraffic();
+            self->take(*std::move(message));
+            if (!self->m_isClosed)
+                self->readLength();
+        });
+}
+
+void peer_session::take(peer_message message)
+{
+    if (m_peer) {
+        m_host.receive(m_peer->from, std::move(message));
+        return;
+    }
+    const auto* greeting = std::get_if<peer_greeting>(&message);
+    if (!greeting) {
+        close(toStatus({ failure_kind::MalformedFrame, "greeting" }));
+        return;
+    }
+    m_peer = *greeting;
+    if (!m_host.admit(shared_from_this(), *greeting))
+        close(toStatus({ failure_kind::NotAMember, greeting->from.value }));
+}
+
+void peer_session::writeNext()
+{
+    asio::async_write(m_socket, asio::buffer(m_outgoing.front()),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+            if (error) {
+                self->onError(error);
+                return;
+            }
+            self->m_outgoingBytes -= self->m_outgoing.front().size();
+            self->m_outgoing.pop_front();
+            if (!self->m_outgoing.empty())
+                self->writeNext();
+        });
+}
+
+void peer_session::expectTraffic()
+{
+    m_silence.expires_after(silenceLimit);
+    m_silence.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+        if (!error)
+            self->close(toStatus({ failure_kind::OwnerUnreachable, "peer", "silence" }));
+    });
+}
+
+void peer_session::onError(const boost::system::error_code& error)
+{
+    close(toStatus({ failure_kind::OwnerUnreachable, "peer", error.message() }));
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/sessions/peer_session.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "kumquatbeam/types/ids.hpp"
+#include "kumquatbeam/types/peer_message.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/system/error_code.hpp>
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace kumquatbeam {
+
+class peer_session;
+
+/// What a peer session needs from the duty that it runs on.
+class peer_host {
+public:
+    virtual ~peer_host() = default;
+
+    virtual peer_greeting greeting() const = 0;
+
+    /// A greeting came. False refuses the peer.
+    virtual bool admit(const std::shared_ptr<peer_session>&, const peer_greeting&) = 0;
+
+    virtual void receive(const entry_vm_id& from, peer_message) = 0;
+
+    /// The session has ended; called once.
+    virtual void lose(peer_session&, const absl::Status& why) = 0;
+
+    /// Counts bytes of control traffic, without the headers of the layers below.
+    virtual void countSent(std::size_t bytes) = 0;
+};
+
+/// One connection to another daemon. Both sides greet first; then messages go both ways.
+class peer_session : public std::enable_shared_from_this<peer_session> {
+public:
+    peer_session(boost::asio::ip::tcp::socket, peer_host&);
+
+    /// Runs on a connected socket.
+    void start();
+
+    /// Queues a message. A peer that does not read loses the connection once its queue is full.
+    void send(const peer_message&);
+
+    /// Ends the session; the host is told.
+    void close(const absl::Status& why);
+
+    /// The peer, once it has greeted.
+    const std::optional<peer_greeting>& peer() const { return m_peer; }
+
+private:
+    void readLength();
+    void readBody(std::size_t length);
+    void take(peer_message);
+    void writeNext();
+    void expectTraffic();
+    void onError(const boost::system::error_code&);
+
+    peer_host& m_host;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_silence;
+    std::array<char, 4> m_length {};
+    std::string m_body;
+    std::deque<std::string> m_outgoing;
+    std::size_t m_outgoingBytes = 0;
+    std::optional<peer_greeting> m_peer;
+    bool m_isClosed = false;
+};
+
+} // namespace kumquatbeam
