--- /dev/null
+++ b/tests/standins/platform_service.py
@@ -0,0 +1,87 @@
+#!/usr/bin/env python3
+"""Stand-in for the platform: a configuration document and a member list, each with a revision, read or watched.
+
+GET /document or /members, `?newer-than=R&wait-ms=T`: the text with its Revision, or 304 after T ms without a newer one.
+POST /control/publish?what=document|members&revision=R publishes the body. POST /control/mode?down=yes|no&stale=yes|no
+&slow-ms=T&serve=REVISION makes the platform unreachable, stuck at what it has now, slow, or answer an older revision.
+GET /control/counts gives the calls so far; a waiting watch counts as one.
+"""
+
+import argparse
+import asyncio
+import json
+
+from http_server import Response, serve
+
+
+class Platform:
+    def __init__(self):
+        self.history = {"document": {}, "members": {}}
+        self.shown = {"document": 0, "members": 0}
+        self.changed = asyncio.Condition()
+        self.down = False
+        self.stale = False
+        self.slow_seconds = 0.0
+        self.calls = 0
+
+    async def handle(self, request, _reader, writer):
+        if request.path.startswith("/control/"):
+            return await self.control(request)
+        self.calls += 1
+        if self.down:
+            writer.close()
+            return None
+        await asyncio.sleep(self.slow_seconds)
+        what = request.path.strip("/")
+        if what not in self.history:
+            return Response(404)
+        return await self.read(what, int(request.query.get("newer-than", "0")), float(request.query.get("wait-ms", "0")) / 1000)
+
+    async def read(self, what, newer_than, wait):
+        try:
+            async with self.changed:
+                await asyncio.wait_for(self.changed.wait_for(lambda: self.down or self.shown[what] > newer_than), wait or 0.001)
+        except asyncio.TimeoutError:
+            return Response(304)
+        if self.down:
+            raise ConnectionError("told to be down")
+        revision = self.shown[what]
+        return Response(200, self.history[what][revision], {"Revision": str(revision)})
+
+    async def control(self, request):
+        if request.path == "/control/counts":
+            return Response(200, json.dumps({"calls": self.calls, "shown": self.shown}).encode())
+        async with self.changed:
+            if request.path == "/control/publish":
+                what, revision = request.query["what"], int(request.query["revision"])
+                self.history[what][revision] = request.body
+                if not self.stale:
+                    self.shown[what] = revision
+            elif request.path == "/control/mode":
+                self.mode(request.query)
+            self.changed.notify_all()
+        return Response(200, b"done\n")
+
+    def mode(self, query):
+        if "down" in query:
+            self.down = query["down"] == "yes"
+        if "stale" in query:
+            self.stale = query["stale"] == "yes"
+            if not self.stale:
+                self.shown = {what: max(revisions, default=0) for what, revisions in self.history.items()}
+        if "slow-ms" in query:
+            self.slow_seconds = float(query["slow-ms"]) / 1000
+        if "serve" in query:
+            self.shown["document"] = int(query["serve"])
+
+
+async def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    options = parser.parse_args()
+    platform = Platform()
+    await serve(options.port, platform.handle)
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- /dev/null
+++ b/tests/standins/relay.py
@@ -0,0 +1,129 @@
+#!/usr/bin/env python3
+"""A TCP relay that can cut, hold or delay links on command, by who connects and where to.
+
+--links ADDRESS:LISTEN:TARGET,... relays each listening port LISTEN of a loopback ADDRESS to the port TARGET there. The
+relay connects onwards from the address of the one who connected. On the control port:
+POST /control?from=ADDRESS|all&to=LISTEN,...|all&mode=pass|cut|hold&direction=both|up|down&delay-ms=T. `cut` aborts
+connections and refuses new ones, `hold` keeps bytes back until the mode is `pass` again. `up` is from the one who
+connected.
+"""
+
+import argparse
+import asyncio
+from dataclasses import dataclass
+
+from http_server import Response, serve
+
+
+@dataclass(frozen=True)
+class Mode:
+    name: str = "pass"
+    direction: str = "both"
+    delay: float = 0.0
+
+    def covers(self, direction):
+        return self.direction in ("both", direction)
+
+
+class Connection:
+    def __init__(self, source, listen):
+        self.source = source
+        self.listen = listen
+        self.mode = Mode()
+        self.changed = asyncio.Event()
+        self.writers = []
+
+    def apply(self, mode):
+        self.mode = mode
+        self.changed.set()
+        if mode.name == "cut":
+            for writer in self.writers:
+                writer.transport.abort()
+
+    async def wait_until_open(self, direction):
+        while self.mode.name == "hold" and self.mode.covers(direction):
+            self.changed.clear()
+            await self.changed.wait()
+
+    async def pump(self, direction, reader, writer):
+        loop = asyncio.get_running_loop()
+        queue = asyncio.Queue(256)
+
+        async def forward():
+            while (item := await queue.get()) is not None:
+                due, data = item
+                await asyncio.sleep(max(0.0, due - loop.time()))
+                await self.wait_until_open(direction)
+                writer.write(data)
+                await writer.drain()
+
+        sender = asyncio.ensure_future(forward())
+        try:
+            while data := await reader.read(65536):
+                delay = self.mode.delay if self.mode.covers(direction) else 0.0
+                await queue.put((loop.time() + delay, data))
+            await queue.put(None)
+            await sender
+        finally:
+            sender.cancel()
+            writer.close()
+
+
+class Relay:
+    def __init__(self):
+        self.rules = []
+        self.connections = set()
+
+    def mode_for(self, source, listen):
+        mode = Mode()
+        for sources, listens, rule in self.rules:
+            if sources in ("all", source) and (listens == "all" or str(listen) in listens.split(",")):
+                mode = rule
+        return mode
+
+    async def accept(self, address, listen, target, reader, writer):
+        connection = Connection(writer.get_extra_info("peername")[0], listen)
+        connection.mode = self.mode_for(connection.source, listen)
+        connection.writers.append(writer)
+        if connection.mode.name == "cut":
+            writer.transport.abort()
+            return
+        try:
+            remote_reader, remote_writer = await asyncio.open_connection(address, target, local_addr=(connection.source, 0))
+        except OSError:
+            writer.transport.abort()
+            return
+        connection.writers.append(remote_writer)
+        self.connections.add(connection)
+        await asyncio.gather(connection.pump("up", reader, remote_writer),
+                             connection.pump("down", remote_reader, writer), return_exceptions=True)
+        self.connections.discard(connection)
+
+    async def control(self, request, _reader, _writer):
+        query = request.query
+        mode = Mode(query.get("mode", "pass"), query.get("direction", "both"), float(query.get("delay-ms", "0")) / 1000)
+        self.rules.append((query.get("from", "all"), query.get("to", "all"), mode))
+        for connection in list(self.connections):
+            connection.apply(self.mode_for(connection.source, connection.listen))
+        return Response(200, b"done\n")
+
+
+async def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--links", required=True, help="ADDRESS:LISTEN:TARGET, comma-separated")
+    parser.add_argument("--control", type=int, required=True)
+    options = parser.parse_args()
+    relay = Relay()
+    servers = []
+    for link in options.links.split(","):
+        address, listen, target = link.split(":")
+
+        def accept(reader, writer, address=address, listen=int(listen), target=int(target)):
+            return relay.accept(address, listen, target, reader, writer)
+
+        servers.append(await asyncio.start_server(accept, address, int(listen), backlog=512))
+    await asyncio.gather(serve(options.control, relay.control), *(server.serve_forever() for server in servers))
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- /dev/null
+++ b/tests/unit/account_queue.tests.cpp
@@ -0,0 +1,45 @@
+#include "kumquatbeam/decisions/account_queue.hpp"
+
+#include <doctest/doctest.h>
+
+namespace {
+
+using namespace kumquatbeam;
+
+request_context waitingRequest(std::uint64_t id, urgency urgencyClass, time_point deadline = never)
+{
+    auto call = std::make_shared<call_request>();
+    call->urgencyClass = urgencyClass;
+    return { .id = { id }, .call = std::move(call), .deadline = deadline };
+}
+
+} // namespace
+
+TEST_CASE("An account's urgent requests go before its others, in order of arrival [account_queue]")
+{
+    account_queue queue;
+    queue.push(waitingRequest(1, urgency::Low));
+    queue.push(waitingRequest(2, urgency::High));
+    queue.push(waitingRequest(3, urgency::High));
+    queue.push(waitingRequest(4, urgency::Normal));
+
+    CHECK(queue.pop()->id == request_id { 2 });
+    CHECK(queue.pop()->id == request_id { 3 });
+    CHECK(queue.pop()->id == request_id { 4 });
+    CHECK(queue.pop()->id == request_id { 1 });
+    CHECK_FALSE(queue.pop().has_value());
+}
+
+TEST_CASE("Requests past their deadline leave the queue and no others [account_queue]")
+{
+    const time_point now {};
+    account_queue queue;
+    queue.push(waitingRequest(1, urgency::Normal, now + std::chrono::seconds(1)));
+    queue.push(waitingRequest(2, urgency::Low, now + std::chrono::seconds(3)));
+
+    CHECK(queue.nextDeadline() == now + std::chrono::seconds(1));
+    const auto expired = queue.removeExpired(now + std::chrono::seconds(2));
+    REQUIRE(expired.size() == 1);
+    CHECK(expired.front().id == request_id { 1 });
+    CHECK(queue.size() == 1);
+}
--- /dev/null
+++ b/tests/unit/fleet_document.tests.cpp
@@ -0,0 +1,58 @@
+#include "kumquatbeam/settings/fleet_document.hpp"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace {
+
+using namespace kumquatbeam;
+
+const std::string digest(64, 'a');
+
+std::string goodDocument()
+{
+    return "[account weavers]\nowner=accounts\nshare=2000\ncredential-sha256=" + digest
+        + "\n[pool model]\nowner=models\nrepeatable=yes\n"
+          "[endpoint e1]\nowner=endpoints\npool=model\ndomain=north\naddress=127.0.0.1\nport=9000\nslots=8\n";
+}
+
+} // namespace
+
+TEST_CASE("A whole document is accepted with its values and defaults [fleet_document]")
+{
+    const auto verdict = parseDocument({ 5 }, goodDocument());
+    REQUIRE(verdict.isAccepted());
+    CHECK(verdict.document.current == revision { 5 });
+    CHECK(verdict.document.accounts.at({ "weavers" }).share == account_share { 2000 });
+    CHECK(verdict.document.accounts.at({ "weavers" }).queueLimit == 200);
+    CHECK(verdict.document.endpoints.at({ "e1" }).slots == slot_count { 8 });
+}
+
+TEST_CASE("Every fault is reported with line, section, key and range [fleet_document]")
+{
+    const auto verdict = parseDocument(
+        { 1 }, "[account a]\nowner=t\nshare=0\ncredential-sha256=" + digest + "\ncolour=red\n[shop b]\nx=1\n");
+    REQUIRE(verdict.faults.size() == 3);
+    CHECK(verdict.faults[0]
+        == failure { failure_kind::ValueOutOfRange, "line 3 [account a] share", "0", "1 to 1000000000 thousandths" });
+    CHECK(verdict.faults[1].kind == failure_kind::UnknownSetting);
+    CHECK(verdict.faults[1].place == "line 5 [account a] colour");
+    CHECK(verdict.faults[2].kind == failure_kind::UnknownSection);
+}
+
+TEST_CASE("A duplicate section is refused with its line [fleet_document]")
+{
+    const auto verdict = parseDocument({ 1 }, goodDocument() + "[pool model]\nowner=x\nrepeatable=no\n");
+    REQUIRE(verdict.faults.size() == 1);
+    CHECK(verdict.faults[0].kind == failure_kind::SyntaxError);
+    CHECK(verdict.faults[0].place == "line 15");
+}
+
+TEST_CASE("An endpoint of a pool that is not there is refused [fleet_document]")
+{
+    const auto verdict = parseDocument({ 1 },
+        goodDocument() + "[endpoint e2]\nowner=e\npool=none\ndomain=north\naddress=127.0.0.1\nport=1\nslots=1\n");
+    REQUIRE(verdict.faults.size() == 1);
+    CHECK(verdict.faults[0].kind == failure_kind::UnknownReference);
+}
--- /dev/null
+++ b/tests/unit/peer_codec.tests.cpp
@@ -0,0 +1,66 @@
+#include "kumquatbeam/codec/peer_codec.hpp"
+
+#include "kumquatbeam/types/failure.hpp"
+
+#include <doctest/doctest.h>
+
+namespace {
+
+using namespace kumquatbeam;
+
+const time_point now = clock::now();
+
+peer_message throughWire(const peer_message& message)
+{
+    const auto bytes = encodeFrame(message, now);
+    const auto length = decodeFrameLength(std::string_view(bytes).substr(0, frameLengthSize));
+    REQUIRE(length.ok());
+    REQUIRE(*length == bytes.size() - frameLengthSize);
+    auto decoded = decodeFrame(std::string_view(bytes).substr(frameLengthSize), now);
+    REQUIRE(decoded.ok());
+    return *decoded;
+}
+
+} // namespace
+
+TEST_CASE("A slot grant comes through the wire unchanged [peer_codec]")
+{
+    slot_grant grant { { 7 }, { 3 }, 11, std::chrono::milliseconds(900), { { { 1 }, 4, { 250 } }, { { 2 }, 0, { 0 } } },
+        { { { 9 }, { 6 } } } };
+    const auto decoded = std::get<slot_grant>(throughWire(grant));
+    CHECK(decoded.pool == grant.pool);
+    CHECK(decoded.sequence == 11);
+    CHECK(decoded.remaining == std::chrono::milliseconds(900));
+    REQUIRE(decoded.accounts.size() == 2);
+    CHECK(decoded.accounts[0].lead == service_cost { 250 });
+    REQUIRE(decoded.endpoints.size() == 1);
+    CHECK(decoded.endpoints[0].leased == slot_count { 6 });
+}
+
+TEST_CASE("An order keeps its ticket, call and deadline on the way to its holder [peer_codec]")
+{
+    order_forward forward { { 5 }, { { "r1" }, { 2 }, 3, 4 }, {} };
+    forward.call.body = std::string("a\0b", 3);
+    forward.call.deadline = now + std::chrono::milliseconds(1500);
+    const auto decoded = std::get<order_forward>(throughWire(forward));
+    CHECK(decoded.ticket == forward.ticket);
+    CHECK(decoded.call.ticket == forward.ticket);
+    CHECK(decoded.call.body == forward.call.body);
+    CHECK(decoded.call.deadline == forward.call.deadline);
+}
+
+TEST_CASE("Malformed and oversized frames are refused with a typed failure [peer_codec]")
+{
+    CHECK(failureOf(decodeFrame("not a frame at all", now).status())->kind == failure_kind::MalformedFrame);
+    CHECK(failureOf(decodeFrameLength(std::string_view("\xff\xff\xff\xff", 4)).status())->kind
+        == failure_kind::FrameTooLarge);
+    CHECK(failureOf(decodeFrameLength(std::string_view("\0\0\0\0", 4)).status())->kind == failure_kind::MalformedFrame);
+
+    auto bytes = encodeFrame(peer_heartbeat { { 1 }, { 2 }, false, { { 3 } } }, now).substr(frameLengthSize);
+    for (std::size_t place = 0; place < bytes.size(); ++place) {
+        auto damaged = bytes;
+        damaged[place] = static_cast<char>(~damaged[place]);
+        static_cast<void>(decodeFrame(damaged, now));
+        static_cast<void>(decodeFrame(std::string_view(bytes).substr(0, place), now));
+    }
+}
