--- a/src/kumquatbeam/codec/http_call.cpp
+++ b/src/kumquatbeam/codec/http_call.cpp
@@ -55,7 +55,10 @@
         { failure_kind::OrderInProgress, http::status::conflict },
     });
 
-    std::string_view toStd(boost::beast::string_view text) { return { text.data(), text.size() }; }
+    std::string_view toStd(boost::beast::string_view text)
+    {
+        return { text.data(), text.size() };
+    }
 
     absl::Status malformed(std::string place, std::string_view found, std::string allowed)
     {
--- a/src/kumquatbeam/codec/peer_codec.cpp
+++ b/src/kumquatbeam/codec/peer_codec.cpp
@@ -44,7 +44,10 @@
         return out.CreateVector(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
     }
 
-    std::string unpackText(const flatbuffers::String* text) { return text ? text->str() : std::string {}; }
+    std::string unpackText(const flatbuffers::String* text)
+    {
+        return text ? text->str() : std::string {};
+    }
 
     std::string unpackBytes(const flatbuffers::Vector<std::uint8_t>* bytes)
     {
--- a/src/kumquatbeam/codec/status_json.cpp
+++ b/src/kumquatbeam/codec/status_json.cpp
@@ -15,6 +15,9 @@
         { "ready", report.isReady },
         { "draining", report.isDraining },
         { "strategy", report.strategy },
+        { "control_bytes_sent", report.controlBytesSent },
+        { "control_frames_sent", report.controlFramesSent },
+        { "control_bytes_received", report.controlBytesReceived },
     };
     json["accounts"] = nlohmann::ordered_json::array();
     for (const auto& row : report.accounts) {
--- a/src/kumquatbeam/controllers/decision_core.cpp
+++ b/src/kumquatbeam/controllers/decision_core.cpp
@@ -19,8 +19,13 @@
     , m_membership(m_settings.self, m_configuration)
     , m_placement(m_settings, m_configuration, m_membership)
     , m_drain(m_settings)
-    , m_controllers { &m_configuration, &m_membership, &m_placement, &m_reply, &m_drain }
 {
+    m_controllers.push_back(&m_configuration);
+    m_controllers.push_back(&m_membership);
+    m_controllers.push_back(&m_placement);
+    m_controllers.push_back(&m_reply);
+    m_controllers.push_back(&m_drain);
+
     m_chain.append(std::make_unique<drain_filter>(m_drain));
     m_chain.append(std::make_unique<account_filter>(m_configuration));
     m_chain.append(std::make_unique<pool_filter>(m_configuration));
--- a/src/kumquatbeam/controllers/decision_core.hpp
+++ b/src/kumquatbeam/controllers/decision_core.hpp
@@ -14,8 +14,8 @@
 #include "kumquatbeam/types/ids.hpp"
 #include "kumquatbeam/types/time.hpp"
 
-#include <array>
 #include <deque>
+#include <vector>
 
 namespace kumquatbeam {
 
@@ -47,7 +47,7 @@
     reply_controller m_reply;
     drain_controller m_drain;
     /// Every controller in the order in which it sees an event: state that others read comes first.
-    std::array<controller*, 5> m_controllers;
+    std::vector<controller*> m_controllers;
     filter_chain m_chain;
 };
 
--- a/src/kumquatbeam/controllers/drain_controller.cpp
+++ b/src/kumquatbeam/controllers/drain_controller.cpp
@@ -45,7 +45,10 @@
     finishWhenIdle(context);
 }
 
-void drain_controller::describe(status_report& report) const { report.isDraining = isDraining(); }
+void drain_controller::describe(status_report& report) const
+{
+    report.isDraining = isDraining();
+}
 
 void drain_controller::finishWhenIdle(decision_context& context)
 {
--- a/src/kumquatbeam/controllers/status_report.hpp
+++ b/src/kumquatbeam/controllers/status_report.hpp
@@ -45,6 +45,10 @@
     bool isReady = false;
     bool isDraining = false;
     std::string strategy;
+    /// Frames to other daemons since the start, without the headers of the layers below.
+    std::uint64_t controlBytesSent = 0;
+    std::uint64_t controlFramesSent = 0;
+    std::uint64_t controlBytesReceived = 0;
     std::vector<account_status> accounts;
     std::vector<endpoint_state> endpoints;
     std::vector<peer_status> peers;
--- a/src/kumquatbeam/decisions/capacity_strategy.cpp
+++ b/src/kumquatbeam/decisions/capacity_strategy.cpp
@@ -26,7 +26,10 @@
 
 void capacity_strategy::receive(const entry_vm_id&, const peer_message&, const pool_view&, time_point) { }
 
-std::vector<addressed_message> capacity_strategy::beat(const pool_view&, time_point) { return {}; }
+std::vector<addressed_message> capacity_strategy::beat(const pool_view&, time_point)
+{
+    return {};
+}
 
 std::unique_ptr<capacity_strategy> makeCapacityStrategy(std::string_view name)
 {
--- a/src/kumquatbeam/duties/callers_duty.cpp
+++ b/src/kumquatbeam/duties/callers_duty.cpp
@@ -18,7 +18,10 @@
 {
 }
 
-absl::Status callers_duty::listen() { return listenOn(m_acceptor, m_settings.callerAddress, m_settings.callerPort); }
+absl::Status callers_duty::listen()
+{
+    return listenOn(m_acceptor, m_settings.callerAddress, m_settings.callerPort);
+}
 
 void callers_duty::start()
 {
@@ -35,16 +38,25 @@
     return id;
 }
 
-void callers_duty::close(request_id id) { m_inProgress.erase(id); }
+void callers_duty::close(request_id id)
+{
+    m_inProgress.erase(id);
+}
 
 bool callers_duty::submit(request_id id, call_request call)
 {
     return m_links.decisions->tryPost(request_arrived { id, std::make_shared<const call_request>(std::move(call)) });
 }
 
-void callers_duty::abandon(request_id id) { m_links.decisions->post(request_abandoned { id }); }
+void callers_duty::abandon(request_id id)
+{
+    m_links.decisions->post(request_abandoned { id });
+}
 
-void callers_duty::acknowledgePiece(request_id id) { m_links.endpoints->post(piece_consumed { id }); }
+void callers_duty::acknowledgePiece(request_id id)
+{
+    m_links.endpoints->post(piece_consumed { id });
+}
 
 void callers_duty::accept()
 {
@@ -72,7 +84,7 @@
         [&](reply_to_caller&& reply) { deliver(std::move(reply)); },
         [&](answer_head&& head) { deliver(std::move(head)); },
         [&](answer_piece&& piece) { deliver(std::move(piece)); },
-        [&](answer_end&& end) { deliver(std::move(end)); },
+        [&](answer_end&& end) { deliver(end); },
         [&](set_ready&& ready) { m_isReady = ready.isReady; },
         [&](stop_accepting&&) { m_acceptor.close(); },
     };
--- a/src/kumquatbeam/duties/decisions_duty.cpp
+++ b/src/kumquatbeam/duties/decisions_duty.cpp
@@ -19,9 +19,15 @@
     m_duty.start([this](const decision_event& event) { handle(event); });
 }
 
-void decisions_duty::send(caller_command command) { m_links.callers->post(std::move(command)); }
+void decisions_duty::send(caller_command command)
+{
+    m_links.callers->post(std::move(command));
+}
 
-void decisions_duty::send(endpoint_command command) { m_links.endpoints->post(std::move(command)); }
+void decisions_duty::send(endpoint_command command)
+{
+    m_links.endpoints->post(std::move(command));
+}
 
 void decisions_duty::send(peer_command command)
 {
@@ -29,7 +35,10 @@
     static_cast<void>(m_links.peers->tryPost(std::move(command)));
 }
 
-void decisions_duty::send(operator_command command) { m_links.operators->post(std::move(command)); }
+void decisions_duty::send(operator_command command)
+{
+    m_links.operators->post(std::move(command));
+}
 
 void decisions_duty::handle(const decision_event& event)
 {
--- a/src/kumquatbeam/duties/duty_links.hpp
+++ b/src/kumquatbeam/duties/duty_links.hpp
@@ -4,8 +4,18 @@
 #include "kumquatbeam/controllers/decision_event.hpp"
 #include "kumquatbeam/runtime/duty.hpp"
 
+#include <atomic>
+#include <cstdint>
+
 namespace kumquatbeam {
 
+/// Traffic to the other daemons so far, counted by the peers duty and read by the operators duty.
+struct control_traffic {
+    std::atomic<std::uint64_t> bytesSent = 0;
+    std::atomic<std::uint64_t> framesSent = 0;
+    std::atomic<std::uint64_t> bytesReceived = 0;
+};
+
 /// The rings by which duties reach each other. Filled before any duty starts.
 struct duty_links {
     duty<decision_event>* decisions = nullptr;
@@ -13,6 +23,7 @@
     duty<endpoint_command>* endpoints = nullptr;
     duty<peer_command>* peers = nullptr;
     duty<operator_command>* operators = nullptr;
+    control_traffic* traffic = nullptr;
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/duties/endpoints_duty.cpp
+++ b/src/kumquatbeam/duties/endpoints_duty.cpp
@@ -22,7 +22,10 @@
     m_duty.start([this](endpoint_command command) { handle(std::move(command)); });
 }
 
-void endpoints_duty::relay(caller_command command) { m_links.callers->post(std::move(command)); }
+void endpoints_duty::relay(caller_command command)
+{
+    m_links.callers->post(std::move(command));
+}
 
 void endpoints_duty::finish(attempt_ended ended)
 {
--- a/src/kumquatbeam/duties/operators_duty.cpp
+++ b/src/kumquatbeam/duties/operators_duty.cpp
@@ -80,6 +80,9 @@
 {
     const event_handlers handlers {
         [&](status_reply&& reply) {
+            reply.report.controlBytesSent = m_links.traffic->bytesSent;
+            reply.report.controlFramesSent = m_links.traffic->framesSent;
+            reply.report.controlBytesReceived = m_links.traffic->bytesReceived;
             auto query = m_queries.extract(reply.query);
             if (!query.empty())
                 query.mapped()->respond(http::status::ok, "application/json", encodeStatus(reply.report));
--- a/src/kumquatbeam/duties/peers_duty.cpp
+++ b/src/kumquatbeam/duties/peers_duty.cpp
@@ -30,7 +30,10 @@
 {
 }
 
-absl::Status peers_duty::listen() { return listenOn(m_acceptor, m_settings.peerAddress, m_settings.peerPort); }
+absl::Status peers_duty::listen()
+{
+    return listenOn(m_acceptor, m_settings.peerAddress, m_settings.peerPort);
+}
 
 void peers_duty::start()
 {
@@ -38,7 +41,10 @@
     m_duty.start([this](peer_command command) { handle(std::move(command)); });
 }
 
-peer_greeting peers_duty::greeting() const { return { m_settings.self, m_life, m_settings.domain }; }
+peer_greeting peers_duty::greeting() const
+{
+    return { m_settings.self, m_life, m_settings.domain };
+}
 
 bool peers_duty::admit(const std::shared_ptr<peer_session>& session, const peer_greeting& greeting)
 {
@@ -70,7 +76,16 @@
     m_links.decisions->post(peer_lost { name });
 }
 
-void peers_duty::countSent(std::size_t bytes) { m_bytesSent += bytes; }
+void peers_duty::countSent(std::size_t bytes)
+{
+    m_links.traffic->bytesSent += bytes;
+    ++m_links.traffic->framesSent;
+}
+
+void peers_duty::countReceived(std::size_t bytes)
+{
+    m_links.traffic->bytesReceived += bytes;
+}
 
 void peers_duty::accept()
 {
--- a/src/kumquatbeam/duties/peers_duty.hpp
+++ b/src/kumquatbeam/duties/peers_duty.hpp
@@ -9,7 +9,6 @@
 #include <absl/status/status.h>
 #include <boost/asio/steady_timer.hpp>
 
-#include <atomic>
 #include <map>
 #include <memory>
 #include <set>
@@ -27,15 +26,13 @@
 
     duty<peer_command>& inbox() { return m_duty; }
 
-    /// Bytes of frames sent so far. Any thread may call it.
-    std::uint64_t bytesSent() const { return m_bytesSent; }
-
 private:
     peer_greeting greeting() const override;
     bool admit(const std::shared_ptr<peer_session>&, const peer_greeting&) override;
     void receive(const entry_vm_id& from, peer_message) override;
     void lose(peer_session&, const absl::Status& why) override;
     void countSent(std::size_t bytes) override;
+    void countReceived(std::size_t bytes) override;
 
     void accept();
     void handle(peer_command);
@@ -53,7 +50,6 @@
     std::map<entry_vm_id, entry_vm> m_members;
     std::map<entry_vm_id, std::shared_ptr<peer_session>> m_sessions;
     std::set<entry_vm_id> m_connecting;
-    std::atomic<std::uint64_t> m_bytesSent = 0;
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/duties/ring_sizes.cpp
+++ b/src/kumquatbeam/duties/ring_sizes.cpp
@@ -17,14 +17,29 @@
 
 } // namespace
 
-ring_limits decisionsRing(const router_settings& settings) { return forRequests(settings); }
-
-ring_limits callersRing(const router_settings& settings) { return forRequests(settings); }
-
-ring_limits endpointsRing(const router_settings& settings) { return forRequests(settings); }
-
-ring_limits peersRing() { return { refusablePlaces + reservedSmall, reservedSmall }; }
-
-ring_limits operatorsRing() { return { refusablePlaces + reservedSmall, reservedSmall }; }
+ring_limits decisionsRing(const router_settings& settings)
+{
+    return forRequests(settings);
+}
+
+ring_limits callersRing(const router_settings& settings)
+{
+    return forRequests(settings);
+}
+
+ring_limits endpointsRing(const router_settings& settings)
+{
+    return forRequests(settings);
+}
+
+ring_limits peersRing()
+{
+    return { refusablePlaces + reservedSmall, reservedSmall };
+}
+
+ring_limits operatorsRing()
+{
+    return { refusablePlaces + reservedSmall, reservedSmall };
+}
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/duties/router_process.cpp
+++ b/src/kumquatbeam/duties/router_process.cpp
@@ -12,8 +12,8 @@
     , m_operators(settings, m_links, [this] { m_finished.set_value(); })
     , m_platform(settings, m_links)
 {
-    m_links
-        = { &m_decisions.inbox(), &m_callers.inbox(), &m_endpoints.inbox(), &m_peers.inbox(), &m_operators.inbox() };
+    m_links = { &m_decisions.inbox(), &m_callers.inbox(), &m_endpoints.inbox(), &m_peers.inbox(), &m_operators.inbox(),
+        &m_traffic };
 }
 
 absl::Status router_process::listen()
--- a/src/kumquatbeam/duties/router_process.hpp
+++ b/src/kumquatbeam/duties/router_process.hpp
@@ -28,6 +28,7 @@
 
 private:
     std::promise<void> m_finished;
+    control_traffic m_traffic;
     duty_links m_links;
     decisions_duty m_decisions;
     callers_duty m_callers;
--- a/src/kumquatbeam/filters/filter_chain.cpp
+++ b/src/kumquatbeam/filters/filter_chain.cpp
@@ -4,7 +4,10 @@
 
 namespace kumquatbeam {
 
-void filter_chain::append(std::unique_ptr<request_filter> filter) { m_filters.push_back(std::move(filter)); }
+void filter_chain::append(std::unique_ptr<request_filter> filter)
+{
+    m_filters.push_back(std::move(filter));
+}
 
 std::optional<chain_verdict> filter_chain::apply(request_context& context, time_point now) const
 {
--- a/src/kumquatbeam/filters/request_filter.cpp
+++ b/src/kumquatbeam/filters/request_filter.cpp
@@ -4,8 +4,14 @@
 
 namespace kumquatbeam {
 
-call_reply notRun(failure problem) { return { .kind = reply_kind::NotRun, .problem = std::move(problem) }; }
+call_reply notRun(failure problem)
+{
+    return { .kind = reply_kind::NotRun, .problem = std::move(problem) };
+}
 
-call_reply unknownOutcome(failure problem) { return { .kind = reply_kind::Unknown, .problem = std::move(problem) }; }
+call_reply unknownOutcome(failure problem)
+{
+    return { .kind = reply_kind::Unknown, .problem = std::move(problem) };
+}
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/platform/platform_watch.cpp
+++ b/src/kumquatbeam/platform/platform_watch.cpp
@@ -36,7 +36,10 @@
 {
 }
 
-void platform_watch::start() { ask(); }
+void platform_watch::start()
+{
+    ask();
+}
 
 void platform_watch::ask()
 {
--- a/src/kumquatbeam/runtime/duty_thread.cpp
+++ b/src/kumquatbeam/runtime/duty_thread.cpp
@@ -23,7 +23,10 @@
 {
 }
 
-duty_thread::~duty_thread() { stop(); }
+duty_thread::~duty_thread()
+{
+    stop();
+}
 
 void duty_thread::start()
 {
--- a/src/kumquatbeam/sessions/caller_session.cpp
+++ b/src/kumquatbeam/sessions/caller_session.cpp
@@ -44,7 +44,10 @@
 {
 }
 
-void caller_session::start() { readRequest(); }
+void caller_session::start()
+{
+    readRequest();
+}
 
 void caller_session::deliver(const reply_to_caller& command)
 {
@@ -66,7 +69,10 @@
     enqueue({ outgoing::form::Plain, head.str() });
 }
 
-void caller_session::deliver(answer_piece command) { enqueue({ outgoing::form::Chunk, std::move(command.bytes) }); }
+void caller_session::deliver(answer_piece command)
+{
+    enqueue({ outgoing::form::Chunk, std::move(command.bytes) });
+}
 
 void caller_session::deliver(const answer_end&)
 {
--- a/src/kumquatbeam/sessions/peer_session.cpp
+++ b/src/kumquatbeam/sessions/peer_session.cpp
@@ -89,6 +89,7 @@
                 self->onError(error);
                 return;
             }
+            self->m_host.countReceived(frameLengthSize + self->m_body.size());
             auto message = decodeFrame(self->m_body, clock::now());
             if (!message.ok()) {
                 self->close(message.status());
--- a/src/kumquatbeam/sessions/peer_session.hpp
+++ b/src/kumquatbeam/sessions/peer_session.hpp
@@ -35,6 +35,7 @@
 
     /// Counts bytes of control traffic, without the headers of the layers below.
     virtual void countSent(std::size_t bytes) = 0;
+    virtual void countReceived(std::size_t bytes) = 0;
 };
 
 /// One connection to another daemon. Both sides greet first; then messages go both ways.
--- a/src/kumquatbeam/settings/fleet_document.cpp
+++ b/src/kumquatbeam/settings/fleet_document.cpp
@@ -85,11 +85,20 @@
 
 } // namespace
 
-std::span<const setting_row<client_account>> clientAccountTable() { return accountRows; }
+std::span<const setting_row<client_account>> clientAccountTable()
+{
+    return accountRows;
+}
 
-std::span<const setting_row<endpoint_pool>> endpointPoolTable() { return poolRows; }
+std::span<const setting_row<endpoint_pool>> endpointPoolTable()
+{
+    return poolRows;
+}
 
-std::span<const setting_row<endpoint_description>> endpointTable() { return endpointRows; }
+std::span<const setting_row<endpoint_description>> endpointTable()
+{
+    return endpointRows;
+}
 
 document_verdict parseDocument(revision current, const std::string& text)
 {
--- a/src/kumquatbeam/settings/router_settings.cpp
+++ b/src/kumquatbeam/settings/router_settings.cpp
@@ -45,7 +45,10 @@
 
 } // namespace
 
-std::span<const setting_row<router_settings>> routerSettingsTable() { return routerRows; }
+std::span<const setting_row<router_settings>> routerSettingsTable()
+{
+    return routerRows;
+}
 
 absl::StatusOr<router_settings> parseRouterSettings(const std::string& text, std::vector<failure>& faults)
 {
--- a/src/kumquatbeam/types/failure.cpp
+++ b/src/kumquatbeam/types/failure.cpp
@@ -91,7 +91,10 @@
 
 } // namespace
 
-std::string_view nameOf(failure_kind kind) { return rowOf(kind).name; }
+std::string_view nameOf(failure_kind kind)
+{
+    return rowOf(kind).name;
+}
 
 std::optional<failure_kind> failureKindNamed(std::string_view name)
 {
--- a/src/kumquatbeam/types/wire_key.hpp
+++ b/src/kumquatbeam/types/wire_key.hpp
@@ -20,6 +20,9 @@
     return wire_key { hash };
 }
 
-template <typename Tag> wire_key wireKeyOf(const strong_value<Tag, std::string>& id) { return wireKeyOf(id.value); }
+template <typename Tag> wire_key wireKeyOf(const strong_value<Tag, std::string>& id)
+{
+    return wireKeyOf(id.value);
+}
 
 } // namespace kumquatbeam
