--- a/src/kumquatbeam/codec/peer_codec.cpp
+++ b/src/kumquatbeam/codec/peer_codec.cpp
@@ -290,7 +290,7 @@
     return length;
 }
 
-absl::StatusOr<peer_message> decodeFrame(std::string_view bytes, time_point now)
+absl::StatusOr<peer_message> decodeFrame(const std::string& bytes, time_point now)
 {
     flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
     if (!frames::VerifyframeBuffer(verifier))
--- a/tests/unit/peer_codec.tests.cpp
+++ b/tests/unit/peer_codec.tests.cpp
@@ -16,7 +16,7 @@
     const auto length = decodeFrameLength(std::string_view(bytes).substr(0, frameLengthSize));
     REQUIRE(length.ok());
     REQUIRE(*length == bytes.size() - frameLengthSize);
-    auto decoded = decodeFrame(std::string_view(bytes).substr(frameLengthSize), now);
+    auto decoded = decodeFrame(bytes.substr(frameLengthSize), now);
     REQUIRE(decoded.ok());
     return *decoded;
 }
@@ -61,6 +61,6 @@
         auto damaged = bytes;
         damaged[place] = static_cast<char>(~damaged[place]);
         static_cast<void>(decodeFrame(damaged, now));
-        static_cast<void>(decodeFrame(std::string_view(bytes).substr(0, place), now));
+        static_cast<void>(decodeFrame(bytes.substr(0, place), now));
     }
 }
