Check documents by owner and meaning, and name what a setting allows

Cause: operators of several teams edit one long document, and nothing told them of a lost update, of whose section a fault stands in, or of what a change means. A misspelt log level or strategy went unnoticed. Ruled out: comparing texts line by line, which reports order and defaults as differences; a list of strategy names kept in the settings, which would go stale; refusing only where both teams changed a section, which lets an edit silently revert the other's change. Before: an unknown strategy ended in a null pointer at the first document. A section without a key was passed over, since the property tree leaves such sections out; "[shop a]" alone was accepted as an empty document. After: the tables also format their members, so the three-way comparison, the diff and the reference pages come from the same rows as the parser. Names are parsed as enumerations, and log lines have a rate. Sections without a key count.

--- a/apps/check.cpp
+++ b/apps/check.cpp
@@ -1,5 +1,9 @@
 #include "exit_code.hpp"
 
+#include "kumquatbeam/checking/document_edit.hpp"
+#include "kumquatbeam/checking/fault_report.hpp"
+#include "kumquatbeam/checking/settings_reference.hpp"
+#include "kumquatbeam/decisions/capacity_strategy.hpp"
 #include "kumquatbeam/settings/fleet_document.hpp"
 #include "kumquatbeam/settings/router_settings.hpp"
 #include "kumquatbeam/settings/text_file.hpp"
@@ -7,44 +11,155 @@
 #include <docopt/docopt.h>
 
 #include <iostream>
+#include <map>
 
 namespace {
 
+using namespace kumquatbeam;
+
 constexpr char usage[] = R"(kumquatbeam-check: checks settings and the operators' document before they are used.
 
 Usage:
   kumquatbeam-check settings FILE
   kumquatbeam-check document FILE
+  kumquatbeam-check diff OLD NEW
+  kumquatbeam-check edit --base=FILE --current=FILE --new=FILE --team=NAME
+  kumquatbeam-check reference (router | document)
   kumquatbeam-check --help
   kumquatbeam-check --version
 
-Prints every fault with its line, section, key and allowed range.
-Exit codes: 0 no fault, 1 faults were found, 2 wrong command line, 3 the file cannot be read.
+settings and document print every fault with its line, section, key, allowed range and owner. diff prints what changes
+in meaning, for each account, pool and endpoint. edit refuses a document that was made from an older one than the one in
+force, or that changes sections of other teams. reference prints a page of settings in Markdown.
+
+Options:
+  --base=FILE     The document that the edit started from.
+  --current=FILE  The document that is in force now.
+  --new=FILE      The document that is to be published.
+  --team=NAME     The team that edits; it may change the sections that it owns.
+  --help          Show this text.
+  --version       Show the version.
+
+Exit codes: 0 no fault or no difference, 1 faults were found, 2 wrong command line, 3 a file cannot be read,
+5 the documents differ in meaning (diff).
 )";
 
-std::vector<kumquatbeam::failure> faultsOf(bool isDocument, const std::string& text)
+using argument_map = std::map<std::string, docopt::value>;
+
+/// A file's document; prints what is wrong with it.
+struct checked_file {
+    int exitCode = exitOk;
+    document_verdict verdict {};
+};
+
+void printFaults(const std::string& path, const std::vector<failure>& faults, const std::string& text)
 {
-    if (isDocument)
-        return kumquatbeam::parseDocument({ 1 }, text).faults;
-    std::vector<kumquatbeam::failure> faults;
-    static_cast<void>(kumquatbeam::parseRouterSettings(text, faults));
-    return faults;
+    for (const auto& fault : assignOwners(faults, text))
+        std::cout << path << ": " << describe(fault) << "\n";
 }
 
-} // namespace
+checked_file readDocument(const std::string& path)
+{
+    const auto text = readTextFile(path);
+    if (!text.ok()) {
+        std::cerr << text.status().message() << "\n";
+        return { exitSettings };
+    }
+    checked_file file { exitOk, parseDocument({ 1 }, *text) };
+    printFaults(path, file.verdict.faults, *text);
+    if (!file.verdict.isAccepted())
+        file.exitCode = exitRefused;
+    return file;
+}
 
-int main(int argc, char** argv)
+int checkDocument(const argument_map& arguments)
 {
-    using namespace kumquatbeam;
-    const auto arguments
-        = docopt::docopt(usage, { argv + 1, argv + argc }, true, "kumquatbeam-check " KUMQUATBEAM_VERSION);
-    const auto text = readTextFile(arguments.at("FILE").asString());
+    return readDocument(arguments.at("FILE").asString()).exitCode;
+}
+
+int checkSettings(const argument_map& arguments)
+{
+    const auto path = arguments.at("FILE").asString();
+    const auto text = readTextFile(path);
     if (!text.ok()) {
         std::cerr << text.status().message() << "\n";
         return exitSettings;
     }
-    const auto faults = faultsOf(arguments.at("document").asBool(), *text);
+    std::vector<failure> faults;
+    static_cast<void>(parseRouterSettings(*text, faults, capacityStrategyNames()));
+    printFaults(path, faults, *text);
+    return faults.empty() ? exitOk : exitRefused;
+}
+
+/// Prints the pools whose capacity changes as a whole.
+void printCapacity(const fleet_document& before, const fleet_document& after)
+{
+    const auto newSlots = slotsOfPools(after);
+    for (const auto& [pool, slots] : slotsOfPools(before)) {
+        const auto other = newSlots.find(pool);
+        if (other != newSlots.end() && other->second != slots)
+            std::cout << "pool " << pool.value << ": capacity " << slots.value << " -> " << other->second.value
+                      << " slots\n";
+    }
+}
+
+int diffDocuments(const argument_map& arguments)
+{
+    const auto before = readDocument(arguments.at("OLD").asString());
+    const auto after = readDocument(arguments.at("NEW").asString());
+    if (before.exitCode != exitOk || after.exitCode != exitOk)
+        return std::max(before.exitCode, after.exitCode);
+    const auto changes = compareFacts(factsOf(before.verdict.document), factsOf(after.verdict.document));
+    for (const auto& change : changes)
+        std::cout << describe(change) << "\n";
+    printCapacity(before.verdict.document, after.verdict.document);
+    return changes.empty() ? exitOk : exitDiffers;
+}
+
+int checkEditOfTeam(const argument_map& arguments)
+{
+    const auto base = readDocument(arguments.at("--base").asString());
+    const auto current = readDocument(arguments.at("--current").asString());
+    const auto wanted = readDocument(arguments.at("--new").asString());
+    const auto worst = std::max({ base.exitCode, current.exitCode, wanted.exitCode });
+    if (worst != exitOk)
+        return worst;
+    const auto faults = checkEdit({ { arguments.at("--team").asString() }, factsOf(base.verdict.document),
+        factsOf(current.verdict.document), factsOf(wanted.verdict.document) });
     for (const auto& fault : faults)
         std::cout << describe(fault) << "\n";
     return faults.empty() ? exitOk : exitRefused;
 }
+
+int printReference(const argument_map& arguments)
+{
+    std::cout << (arguments.at("router").asBool() ? routerReference(capacityStrategyNames()) : documentReference());
+    return exitOk;
+}
+
+/// A sub-command and what runs it. `document` is a word of `reference` too, so that one is looked up first.
+struct command_row {
+    const char* name;
+    int (*run)(const argument_map&);
+};
+
+constexpr command_row commands[] = {
+    { "reference", printReference },
+    { "settings", checkSettings },
+    { "document", checkDocument },
+    { "diff", diffDocuments },
+    { "edit", checkEditOfTeam },
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto arguments
+        = docopt::docopt(usage, { argv + 1, argv + argc }, true, "kumquatbeam-check " KUMQUATBEAM_VERSION);
+    for (const auto& command : commands) {
+        if (arguments.at(command.name).asBool())
+            return command.run(arguments);
+    }
+    return exitUsage;
+}
--- a/apps/router.cpp
+++ b/apps/router.cpp
@@ -1,5 +1,6 @@
 #include "exit_code.hpp"
 
+#include "kumquatbeam/decisions/capacity_strategy.hpp"
 #include "kumquatbeam/duties/router_process.hpp"
 #include "kumquatbeam/runtime/log_writer.hpp"
 #include "kumquatbeam/settings/router_settings.hpp"
@@ -44,12 +45,12 @@
     if (!text.ok())
         return printFaults({ failureOf(text.status()).value_or(failure {}) });
     std::vector<failure> faults;
-    const auto settings = parseRouterSettings(*text, faults);
+    const auto settings = parseRouterSettings(*text, faults, capacityStrategyNames());
     if (!settings.ok())
         return printFaults(faults);
 
     const log_sink sink(*settings);
-    log_writer log;
+    log_writer log(settings->logRate);
     router_process process(*settings, drawIncarnation(), log);
     const auto listening = process.listen();
     if (!listening.ok()) {
--- /dev/null
+++ b/src/kumquatbeam/checking/document_edit.cpp
@@ -0,0 +1,71 @@
+#include "kumquatbeam/checking/document_edit.hpp"
+
+#include <set>
+
+namespace kumquatbeam {
+
+namespace {
+
+    const section_facts* sectionIn(const document_facts& facts, const section_name& name)
+    {
+        const auto found = facts.find(name);
+        return found == facts.end() ? nullptr : &found->second;
+    }
+
+    bool isSame(const section_facts* left, const section_facts* right)
+    {
+        return left && right ? *left == *right : left == right;
+    }
+
+    /// The keys that differ, or what happened to the section as a whole.
+    std::string differenceOf(const section_name& name, const section_facts* before, const section_facts* after)
+    {
+        document_facts left;
+        document_facts right;
+        if (before)
+            left.emplace(name, *before);
+        if (after)
+            right.emplace(name, *after);
+        std::string text;
+        for (const auto& change : compareFacts(left, right))
+            text.append(text.empty() ? "" : "; ").append(describe(change));
+        return text;
+    }
+
+    std::set<section_name> sectionsOf(const document_edit& edit)
+    {
+        std::set<section_name> names;
+        for (const auto* facts : { &edit.base, &edit.current, &edit.wanted }) {
+            for (const auto& [name, section] : *facts)
+                names.insert(name);
+        }
+        return names;
+    }
+
+    void checkSection(const document_edit& edit, const section_name& name, std::vector<failure>& faults)
+    {
+        const auto* base = sectionIn(edit.base, name);
+        const auto* current = sectionIn(edit.current, name);
+        const auto* wanted = sectionIn(edit.wanted, name);
+        const auto place = "[" + toText(name) + "]";
+        if (!isSame(base, current) && !isSame(current, wanted))
+            faults.push_back({ failure_kind::StaleRevision, place, differenceOf(name, current, wanted),
+                "an edit made from the document in force, which has " + differenceOf(name, base, current) });
+        if (isSame(base, wanted))
+            return;
+        const auto& owner = (base ? base : wanted)->owner;
+        if (owner != edit.team)
+            faults.push_back({ failure_kind::NotSectionOwner, place, edit.team.value, owner.value });
+    }
+
+} // namespace
+
+std::vector<failure> checkEdit(const document_edit& edit)
+{
+    std::vector<failure> faults;
+    for (const auto& name : sectionsOf(edit))
+        checkSection(edit, name, faults);
+    return faults;
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/checking/document_facts.cpp
@@ -0,0 +1,86 @@
+#include "kumquatbeam/checking/document_facts.hpp"
+
+namespace kumquatbeam {
+
+namespace {
+
+    template <typename Id, typename Record>
+    void addFacts(document_facts& facts, const char* kind, const std::map<Id, Record>& records,
+        std::span<const setting_row<Record>> table)
+    {
+        for (const auto& [id, record] : records) {
+            section_facts section { .owner = record.owner };
+            for (const auto& row : table)
+                section.values.emplace(row.key, row.format(record));
+            facts.emplace(section_name { kind, id.value }, std::move(section));
+        }
+    }
+
+    void compareSections(const section_name& name, const section_facts& before, const section_facts& after,
+        std::vector<fact_change>& changes)
+    {
+        for (const auto& [key, value] : before.values) {
+            const auto& other = after.values.at(key);
+            if (value != other)
+                changes.push_back({ fact_change_kind::ValueChanged, name, key, value, other });
+        }
+    }
+
+} // namespace
+
+document_facts factsOf(const fleet_document& document)
+{
+    document_facts facts;
+    addFacts(facts, "account", document.accounts, clientAccountTable());
+    addFacts(facts, "pool", document.pools, endpointPoolTable());
+    addFacts(facts, "endpoint", document.endpoints, endpointTable());
+    return facts;
+}
+
+std::vector<fact_change> compareFacts(const document_facts& before, const document_facts& after)
+{
+    std::vector<fact_change> changes;
+    for (const auto& [name, section] : before) {
+        const auto other = after.find(name);
+        if (other == after.end())
+            changes.push_back({ fact_change_kind::SectionRemoved, name });
+        else
+            compareSections(name, section, other->second, changes);
+    }
+    for (const auto& [name, section] : after) {
+        if (!before.contains(name))
+            changes.push_back({ fact_change_kind::SectionAdded, name });
+    }
+    return changes;
+}
+
+std::string describe(const fact_change& change)
+{
+    const auto place = toText(change.section);
+    switch (change.kind) {
+    case fact_change_kind::SectionAdded:
+        return place + ": added";
+    case fact_change_kind::SectionRemoved:
+        return place + ": removed";
+    case fact_change_kind::ValueChanged:
+        break;
+    }
+    return place + ": " + std::string(change.key) + " " + change.before + " -> " + change.after;
+}
+
+std::string toText(const section_name& section)
+{
+    return section.kind + " " + section.name;
+}
+
+std::map<pool_id, slot_count> slotsOfPools(const fleet_document& document)
+{
+    std::map<pool_id, slot_count> slots;
+    for (const auto& [id, pool] : document.pools)
+        slots.emplace(id, slot_count {});
+    for (const auto& [id, endpoint] : document.endpoints)
+        slots[endpoint.pool] += endpoint.slots;
+    return slots;
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/checking/document_facts.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "kumquatbeam/settings/fleet_document.hpp"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace kumquatbeam {
+
+/// A section of the operators' document by its heading, `[kind name]`.
+struct section_name {
+    std::string kind;
+    std::string name;
+
+    friend bool operator==(const section_name&, const section_name&) = default;
+    friend auto operator<=>(const section_name&, const section_name&) = default;
+};
+
+/// What a section says: every key with its value, defaults filled in, so that texts of one meaning compare equal.
+struct section_facts {
+    team_id owner;
+    std::map<std::string_view, std::string> values;
+
+    friend bool operator==(const section_facts&, const section_facts&) = default;
+};
+
+using document_facts = std::map<section_name, section_facts>;
+
+/// The meaning of an accepted document.
+document_facts factsOf(const fleet_document&);
+
+/// What became of a section or of one of its keys.
+enum class fact_change_kind {
+    SectionAdded,
+    SectionRemoved,
+    ValueChanged,
+};
+
+/// One difference in meaning between two documents.
+struct fact_change {
+    fact_change_kind kind = fact_change_kind::ValueChanged;
+    section_name section;
+    /// The key and its values, for `ValueChanged`.
+    std::string_view key {};
+    std::string before {};
+    std::string after {};
+};
+
+/// Every difference in meaning, by section.
+std::vector<fact_change> compareFacts(const document_facts& before, const document_facts& after);
+
+/// One line for people.
+std::string describe(const fact_change&);
+
+/// `kind name`, as the heading spells it.
+std::string toText(const section_name&);
+
+/// Slots of each pool: the sum over its endpoints.
+std::map<pool_id, slot_count> slotsOfPools(const fleet_document&);
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/decisions/capacity_strategy.cpp
+++ b/src/kumquatbeam/decisions/capacity_strategy.cpp
@@ -38,4 +38,12 @@
     return row == strategyTable.end() ? nullptr : row->make();
 }
 
+std::vector<std::string_view> capacityStrategyNames()
+{
+    std::vector<std::string_view> names;
+    for (const auto& row : strategyTable)
+        names.push_back(row.name);
+    return names;
+}
+
 } // namespace kumquatbeam
--- a/src/kumquatbeam/decisions/capacity_strategy.hpp
+++ b/src/kumquatbeam/decisions/capacity_strategy.hpp
@@ -97,4 +97,7 @@
 /// Makes the strategy with this name, or returns null.
 std::unique_ptr<capacity_strategy> makeCapacityStrategy(std::string_view name);
 
+/// Names of all strategies.
+std::vector<std::string_view> capacityStrategyNames();
+
 } // namespace kumquatbeam
--- a/src/kumquatbeam/runtime/log_writer.cpp
+++ b/src/kumquatbeam/runtime/log_writer.cpp
@@ -12,7 +12,9 @@
 #include <boost/log/trivial.hpp>
 #include <boost/make_shared.hpp>
 
+#include <chrono>
 #include <iostream>
+#include <utility>
 
 namespace kumquatbeam {
 
@@ -25,6 +27,21 @@
     using queued_sink = logging::sinks::asynchronous_sink<logging::sinks::text_ostream_backend,
         logging::sinks::bounded_fifo_queue<queuedLines, logging::sinks::drop_on_overflow>>;
 
+    logging::trivial::severity_level severityOf(log_level level)
+    {
+        switch (level) {
+        case log_level::Debug:
+            return logging::trivial::debug;
+        case log_level::Info:
+            return logging::trivial::info;
+        case log_level::Warning:
+            return logging::trivial::warning;
+        case log_level::Error:
+            return logging::trivial::error;
+        }
+        return logging::trivial::info;
+    }
+
     boost::shared_ptr<queued_sink>& currentSink()
     {
         static boost::shared_ptr<queued_sink> sink;
@@ -33,8 +50,15 @@
 
 } // namespace
 
+log_writer::log_writer(std::int64_t linesASecond)
+    : m_linesASecond(linesASecond)
+{
+}
+
 void log_writer::placed(const placement_record& record)
 {
+    if (!takeLine())
+        return;
     BOOST_LOG_TRIVIAL(info) << "placement: request=" << record.request.value << " account=" << record.account.value
                             << " pool=" << record.pool.value << " endpoint=" << record.endpoint.value << " because=\""
                             << record.reason << "\" next-best=" << record.runnerUp.value << " not-it=\""
@@ -43,6 +67,8 @@
 
 void log_writer::refused(const refusal_record& record)
 {
+    if (!takeLine())
+        return;
     BOOST_LOG_TRIVIAL(info) << record.decidedBy << ": refused request=" << record.request.value
                             << " account=" << record.account.value << " pool=" << record.pool.value
                             << " failure=" << nameOf(record.problem.kind) << " because=\"" << describe(record.problem)
@@ -51,13 +77,32 @@
 
 void log_writer::changed(const change_record& record)
 {
-    BOOST_LOG_TRIVIAL(info) << record.part << ": " << record.change << " " << record.subject;
+    if (takeLine())
+        BOOST_LOG_TRIVIAL(info) << record.part << ": " << record.change << " " << record.subject;
 }
 
 void log_writer::failed(std::string_view part, const failure& problem)
 {
-    BOOST_LOG_TRIVIAL(warning) << part << ": failure=" << nameOf(problem.kind) << " because=\"" << describe(problem)
-                               << "\"";
+    if (takeLine())
+        BOOST_LOG_TRIVIAL(warning) << part << ": failure=" << nameOf(problem.kind) << " because=\"" << describe(problem)
+                                   << "\"";
+}
+
+bool log_writer::takeLine()
+{
+    const auto now = clock::now();
+    if (now >= m_windowEnd) {
+        m_windowEnd = now + std::chrono::seconds(1);
+        m_linesLeft = m_linesASecond;
+        if (const auto dropped = std::exchange(m_dropped, 0))
+            BOOST_LOG_TRIVIAL(warning) << "log: dropped lines=" << dropped << " because=\"log-rate\"";
+    }
+    if (m_linesLeft == 0) {
+        ++m_dropped;
+        return false;
+    }
+    --m_linesLeft;
+    return true;
 }
 
 log_sink::log_sink(const router_settings& settings)
@@ -72,9 +117,7 @@
                      << logging::trivial::severity << " " << settings.self.value << " " << expr::smessage);
     const auto core = logging::core::get();
     core->add_global_attribute("TimeStamp", logging::attributes::utc_clock());
-    auto level = logging::trivial::info;
-    logging::trivial::from_string(settings.logLevel.data(), settings.logLevel.size(), level);
-    core->set_filter(logging::trivial::severity >= level);
+    core->set_filter(logging::trivial::severity >= severityOf(settings.logLevel));
     core->add_sink(sink);
     currentSink() = sink;
 }
--- a/src/kumquatbeam/runtime/log_writer.hpp
+++ b/src/kumquatbeam/runtime/log_writer.hpp
@@ -2,16 +2,31 @@
 
 #include "kumquatbeam/controllers/decision_log.hpp"
 #include "kumquatbeam/settings/router_settings.hpp"
+#include "kumquatbeam/types/time.hpp"
+
+#include <cstdint>
 
 namespace kumquatbeam {
 
-/// Writes a line for each decision through Boost.Log.
+/// Writes a line for each decision through Boost.Log, at most so many a second: a flood must not fill the log. What
+/// goes beyond is dropped, and the next second starts with a line that counts it. Used from one duty.
 class log_writer final : public decision_log {
 public:
+    explicit log_writer(std::int64_t linesASecond);
+
     void placed(const placement_record&) override;
     void refused(const refusal_record&) override;
     void changed(const change_record&) override;
     void failed(std::string_view part, const failure&) override;
+
+private:
+    /// Whether one more line may go out in this second.
+    bool takeLine();
+
+    std::int64_t m_linesASecond;
+    time_point m_windowEnd = time_point::min();
+    std::int64_t m_linesLeft = 0;
+    std::int64_t m_dropped = 0;
 };
 
 /// Sends log lines to standard error from a thread of its own. When its queue is full, lines are dropped: a slow
--- a/src/kumquatbeam/settings/ini_text.cpp
+++ b/src/kumquatbeam/settings/ini_text.cpp
@@ -6,8 +6,10 @@
 #include <boost/property_tree/ini_parser.hpp>
 
 #include <map>
+#include <set>
 #include <sstream>
 #include <string_view>
+#include <utility>
 
 namespace kumquatbeam {
 
@@ -29,6 +31,7 @@
                     section = line.substr(1, line.find(']') - 1);
                     boost::algorithm::trim(section);
                     m_lines[section] = number;
+                    m_headings.push_back({ section, number });
                     continue;
                 }
                 std::string key = line.substr(0, line.find('='));
@@ -37,6 +40,9 @@
             }
         }
 
+        /// Every heading in order, with its line.
+        const std::vector<std::pair<std::string, int>>& headings() const { return m_headings; }
+
         int lineOf(const std::string& section) const { return find(section); }
         int lineOf(const std::string& section, const std::string& key) const { return find(pathOf(section, key)); }
 
@@ -55,6 +61,7 @@
         }
 
         std::map<std::string, int> m_lines;
+        std::vector<std::pair<std::string, int>> m_headings;
     };
 
     ini_section sectionHeading(const std::string& heading, int line)
@@ -89,6 +96,15 @@
             section.entries.push_back({ key, value.data(), lines.lineOf(heading, key) });
         result.sections.push_back(std::move(section));
     }
+    // The property tree leaves out sections without a key; they must not go unnoticed.
+    std::set<std::string> seen;
+    for (const auto& [heading, line] : lines.headings()) {
+        if (!seen.insert(heading).second)
+            return toStatus(
+                { failure_kind::SyntaxError, "line " + std::to_string(line), heading, "each section once" });
+        if (tree.find(heading) == tree.not_found())
+            result.sections.push_back(sectionHeading(heading, line));
+    }
     return result;
 }
 
--- a/src/kumquatbeam/settings/ini_text.hpp
+++ b/src/kumquatbeam/settings/ini_text.hpp
@@ -22,7 +22,7 @@
     std::vector<ini_entry> entries;
 };
 
-/// An INI text in the order in which it was written.
+/// An INI text in the order in which it was written; sections without a key come last.
 struct ini_text {
     std::vector<ini_section> sections;
 };
--- a/src/kumquatbeam/settings/router_settings.cpp
+++ b/src/kumquatbeam/settings/router_settings.cpp
@@ -1,5 +1,6 @@
 #include "kumquatbeam/settings/router_settings.hpp"
 
+#include <algorithm>
 #include <array>
 
 namespace kumquatbeam {
@@ -40,9 +41,31 @@
         settingRow<&router_settings::drainLimit>(
             { "drain-limit-ms", "ms", { 0, 3'600'000 }, false, "longest wait for calls in progress" }),
         settingRow<&router_settings::logLevel>(
-            { "log-level", "characters", nameLength, false, "debug, info, warning or error" }),
+            { "log-level", "name", {}, false, "least severe kind of line that is logged" }),
+        settingRow<&router_settings::logRate>(
+            { "log-rate", "lines a second", { 1, 1'000'000 }, false, "log lines beyond it are dropped and counted" }),
     });
 
+    constexpr auto logLevels = std::to_array<setting_choice<log_level>>({
+        { "debug", log_level::Debug },
+        { "info", log_level::Info },
+        { "warning", log_level::Warning },
+        { "error", log_level::Error },
+    });
+
+    void checkStrategy(const router_settings& settings, const ini_section& section,
+        std::span<const std::string_view> strategies, std::vector<failure>& faults)
+    {
+        if (strategies.empty()
+            || std::find(strategies.begin(), strategies.end(), settings.strategy) != strategies.end())
+            return;
+        for (const auto& entry : section.entries) {
+            if (entry.key == "strategy")
+                faults.push_back({ failure_kind::ValueOutOfRange, placeOf(section, entry.key, entry.line), entry.value,
+                    joinNames(strategies) });
+        }
+    }
+
 } // namespace
 
 std::span<const setting_row<router_settings>> routerSettingsTable()
@@ -50,7 +73,13 @@
     return routerRows;
 }
 
-absl::StatusOr<router_settings> parseRouterSettings(const std::string& text, std::vector<failure>& faults)
+std::span<const setting_choice<log_level>> settingChoices(log_level)
+{
+    return logLevels;
+}
+
+absl::StatusOr<router_settings> parseRouterSettings(
+    const std::string& text, std::vector<failure>& faults, std::span<const std::string_view> strategies)
 {
     const auto ini = parseIni(text);
     if (!ini.ok()) {
@@ -67,6 +96,7 @@
         }
         hasRouterSection = true;
         fillRecord(settings, routerSettingsTable(), section, faults);
+        checkStrategy(settings, section, strategies, faults);
     }
     if (!hasRouterSection)
         faults.push_back({ failure_kind::MissingSetting, "[router]" });
--- a/src/kumquatbeam/settings/router_settings.hpp
+++ b/src/kumquatbeam/settings/router_settings.hpp
@@ -11,6 +11,17 @@
 
 namespace kumquatbeam {
 
+/// Least severe kind of line that goes to the log.
+enum class log_level {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/// Names of the log levels in settings.
+std::span<const setting_choice<log_level>> settingChoices(log_level);
+
 /// Settings of one router process.
 struct router_settings {
     entry_vm_id self;
@@ -33,11 +44,15 @@
     std::chrono::milliseconds drainNotice { 1000 };
     /// Time after which a shutdown no longer waits for calls in progress.
     std::chrono::milliseconds drainLimit { 60000 };
-    std::string logLevel = "info";
+    log_level logLevel = log_level::Info;
+    /// Log lines a second; what goes beyond it is dropped and counted.
+    std::int64_t logRate = 20'000;
 };
 
-/// Parses the text of a settings file. The status names the first fault; `faults` gets every one.
-absl::StatusOr<router_settings> parseRouterSettings(const std::string& text, std::vector<failure>& faults);
+/// Parses the text of a settings file. The status names the first fault; `faults` gets every one. A strategy that is
+/// not among `strategies` is refused; an empty list allows any.
+absl::StatusOr<router_settings> parseRouterSettings(
+    const std::string& text, std::vector<failure>& faults, std::span<const std::string_view> strategies = {});
 
 /// The table of keys of the `[router]` section.
 std::span<const setting_row<router_settings>> routerSettingsTable();
--- a/src/kumquatbeam/settings/setting_row.cpp
+++ b/src/kumquatbeam/settings/setting_row.cpp
@@ -7,6 +7,34 @@
     return std::to_string(range.lowest) + " to " + std::to_string(range.highest) + " " + std::string(unit);
 }
 
+std::string joinNames(std::span<const std::string_view> names)
+{
+    std::string text;
+    for (const auto name : names)
+        text.append(text.empty() ? "" : ", ").append(name);
+    return text;
+}
+
+std::string formatSetting(std::int64_t value)
+{
+    return std::to_string(value);
+}
+
+std::string formatSetting(std::chrono::milliseconds value)
+{
+    return std::to_string(value.count());
+}
+
+std::string formatSetting(const std::string& value)
+{
+    return value;
+}
+
+std::string formatSetting(bool value)
+{
+    return value ? "yes" : "no";
+}
+
 std::optional<failure> parseSetting(std::int64_t& member, const std::string& text, const setting_range& range)
 {
     std::int64_t number = 0;
--- a/src/kumquatbeam/settings/setting_row.hpp
+++ b/src/kumquatbeam/settings/setting_row.hpp
@@ -6,12 +6,14 @@
 
 #include <boost/lexical_cast/try_lexical_convert.hpp>
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <type_traits>
 #include <vector>
 
 namespace kumquatbeam {
@@ -30,11 +32,26 @@
     bool isRequired;
     std::string_view meaning;
     std::optional<failure> (*parse)(Record&, const std::string& text, const setting_range&);
+    /// Text of the member's value, as it would stand in a file.
+    std::string (*format)(const Record&);
+    /// Text of what is allowed, for an error or a reference page.
+    std::string (*describeAllowed)(const setting_range&, std::string_view unit);
+    /// What `parse` may return.
+    std::span<const failure_kind> errors;
 };
 
-/// Text of the range for an error or a reference page.
+/// A value of an enumeration and its name in settings.
+template <typename Value> struct setting_choice {
+    std::string_view name;
+    Value value;
+};
+
+/// Text of a range of numbers or of lengths.
 std::string describeRange(const setting_range&, std::string_view unit);
 
+/// Names separated by commas.
+std::string joinNames(std::span<const std::string_view> names);
+
 /// @{ Parse functions for the kinds of member that a record may have. They leave the member alone on failure.
 std::optional<failure> parseSetting(std::int64_t&, const std::string& text, const setting_range&);
 std::optional<failure> parseSetting(std::chrono::milliseconds&, const std::string& text, const setting_range&);
@@ -58,12 +75,87 @@
         member.value = static_cast<Value>(number);
     return problem;
 }
+
+/// An enumeration names its values by an overload of `settingChoices`.
+template <typename Value>
+requires std::is_enum_v<Value> std::optional<failure> parseSetting(
+    Value& member, const std::string& text, const setting_range&)
+{
+    for (const auto& choice : settingChoices(Value {})) {
+        if (choice.name != text)
+            continue;
+        member = choice.value;
+        return std::nullopt;
+    }
+    return failure { failure_kind::ValueOutOfRange, "", text };
+}
+/// @}
+
+/// @{ Text of a value, as `parseSetting` reads it.
+std::string formatSetting(std::int64_t);
+std::string formatSetting(std::chrono::milliseconds);
+std::string formatSetting(const std::string&);
+std::string formatSetting(bool);
+
+template <typename Tag, typename Value> std::string formatSetting(const strong_value<Tag, Value>& member)
+{
+    return formatSetting(member.value);
+}
+
+template <typename Tag, typename Value> std::string formatSetting(const strong_quantity<Tag, Value>& member)
+{
+    return formatSetting(static_cast<std::int64_t>(member.value));
+}
+
+template <typename Value>
+requires std::is_enum_v<Value> std::string formatSetting(Value member)
+{
+    for (const auto& choice : settingChoices(member)) {
+        if (choice.value == member)
+            return std::string(choice.name);
+    }
+    return {};
+}
+/// @}
+
+/// Text of what a member of this type allows.
+template <typename Value> std::string describeAllowed(const setting_range& range, std::string_view unit)
+{
+    if constexpr (std::is_same_v<Value, bool>) {
+        return "yes or no";
+    } else if constexpr (std::is_enum_v<Value>) {
+        std::vector<std::string_view> names;
+        for (const auto& choice : settingChoices(Value {}))
+            names.push_back(choice.name);
+        return joinNames(names);
+    } else {
+        return describeRange(range, unit);
+    }
+}
+
+/// @{ What parsing a member of this type may return.
+inline constexpr std::array numberErrors { failure_kind::MalformedValue, failure_kind::ValueOutOfRange };
+inline constexpr std::array textErrors { failure_kind::ValueOutOfRange };
+inline constexpr std::array flagErrors { failure_kind::MalformedValue };
+
+template <typename Value> constexpr std::span<const failure_kind> errorsOf()
+{
+    if constexpr (std::is_same_v<Value, bool>)
+        return flagErrors;
+    else if constexpr (std::is_enum_v<Value> || std::is_convertible_v<Value, std::string_view>)
+        return textErrors;
+    else if constexpr (requires(Value member) { std::string_view(member.value); })
+        return textErrors;
+    else
+        return numberErrors;
+}
 /// @}
 
 template <typename Member> struct member_record;
 
 template <typename Record, typename Value> struct member_record<Value Record::*> {
     using type = Record;
+    using value = Value;
 };
 
 /// What a row says beside its member.
@@ -79,10 +171,12 @@
 template <auto Member> constexpr auto settingRow(const setting_traits& traits)
 {
     using record = typename member_record<decltype(Member)>::type;
+    using value = typename member_record<decltype(Member)>::value;
     return setting_row<record> { traits.key, traits.unit, traits.range, traits.isRequired, traits.meaning,
         [](record& target, const std::string& text, const setting_range& range) {
             return parseSetting(target.*Member, text, range);
-        } };
+        },
+        [](const record& source) { return formatSetting(source.*Member); }, describeAllowed<value>, errorsOf<value>() };
 }
 
 /// Where a setting stands, for an error: section, key and line.
@@ -106,7 +200,7 @@
         if (auto problem = found->parse(record, entry.value, found->range)) {
             problem->place = placeOf(section, entry.key, entry.line);
             if (problem->kind == failure_kind::ValueOutOfRange)
-                problem->allowed = describeRange(found->range, found->unit);
+                problem->allowed = found->describeAllowed(found->range, found->unit);
             faults.push_back(std::move(*problem));
         }
     }
--- /dev/null
+++ b/tests/settings_page_test.cmake
@@ -0,0 +1,6 @@
+# Fails when a generated settings page is not what the checker prints now.
+execute_process(COMMAND ${CHECK} reference ${PAGE} OUTPUT_VARIABLE current COMMAND_ERROR_IS_FATAL ANY)
+file(READ ${FILE} committed)
+if(NOT current STREQUAL committed)
+  message(FATAL_ERROR "${FILE} is out of date: kumquatbeam-check reference ${PAGE} > ${FILE}")
+endif()
--- a/tests/unit/fleet_document.tests.cpp
+++ b/tests/unit/fleet_document.tests.cpp
@@ -49,6 +49,19 @@
     CHECK(verdict.faults[0].place == "line 15");
 }
 
+TEST_CASE("A section without a key is not passed over [fleet_document]")
+{
+    const auto unknown = parseDocument({ 1 }, "[shop a]\n");
+    REQUIRE(unknown.faults.size() == 1);
+    CHECK(unknown.faults[0].kind == failure_kind::UnknownSection);
+    const auto empty = parseDocument({ 1 }, "[pool model]\n" + goodDocument());
+    REQUIRE(empty.faults.size() == 1);
+    CHECK(empty.faults[0].kind == failure_kind::SyntaxError);
+    const auto account = parseDocument({ 1 }, "[account a]\n");
+    REQUIRE(account.faults.size() == 3);
+    CHECK(account.faults[0] == failure { failure_kind::MissingSetting, "line 1 [account a] owner" });
+}
+
 TEST_CASE("An endpoint of a pool that is not there is refused [fleet_document]")
 {
     const auto verdict = parseDocument({ 1 },
