Measure what a router costs as its fleet grows

Cause: the design is for 740 routers, 7,700 endpoints and 3,500 accounts, and nobody had measured what a part costs by size. Ruled out: a simulated cluster; figures of whole processes alone, which do not tell a slope's mechanism. Before: sizes were worked out on paper.

--- /dev/null
+++ b/src/kumquatbeam/capacity/document_slopes.cpp
@@ -0,0 +1,90 @@
+#include "kumquatbeam/capacity/capacity_slope.hpp"
+#include "kumquatbeam/capacity/fleet_sample.hpp"
+
+#include <array>
+
+namespace kumquatbeam {
+
+namespace {
+
+    constexpr std::array<double, 4> partsOfTarget { 0.125, 0.25, 0.5, 1.0 };
+
+    fleet_size scaledTarget(double part)
+    {
+        auto size = targetFleet;
+        size.accounts = static_cast<std::size_t>(static_cast<double>(size.accounts) * part);
+        size.endpoints = static_cast<std::size_t>(static_cast<double>(size.endpoints) * part);
+        size.routers = static_cast<std::size_t>(static_cast<double>(size.routers) * part);
+        return size;
+    }
+
+    capacity_slope documentSize(const capacity_options&)
+    {
+        capacity_slope slope { "document-size", "part of the target", "bytes" };
+        for (const auto part : partsOfTarget)
+            slope.points.push_back({ part, static_cast<double>(sampleDocument(scaledTarget(part)).size()) });
+        return slope;
+    }
+
+    capacity_slope memberListSize(const capacity_options&)
+    {
+        capacity_slope slope { "member-list-size", "routers", "bytes" };
+        for (const auto part : partsOfTarget) {
+            const auto size = scaledTarget(part);
+            slope.points.push_back(
+                { static_cast<double>(size.routers), static_cast<double>(sampleMembers(size).size()) });
+        }
+        return slope;
+    }
+
+    capacity_slope parseTime(const capacity_options&)
+    {
+        capacity_slope slope { "document-parse", "bytes", "processor us" };
+        for (const auto part : partsOfTarget) {
+            const auto text = sampleDocument(scaledTarget(part));
+            const auto cost = processorMicroseconds([&] { static_cast<void>(parseDocument({ 1 }, text)); });
+            slope.points.push_back({ static_cast<double>(text.size()), cost });
+        }
+        return slope;
+    }
+
+    capacity_slope parsedMemory(const capacity_options&)
+    {
+        capacity_slope slope { "document-memory", "bytes", "bytes" };
+        for (const auto part : partsOfTarget) {
+            const auto text = sampleDocument(scaledTarget(part));
+            const auto before = allocatedBytes();
+            const auto verdict = parseDocument({ 1 }, text);
+            slope.points.push_back({ static_cast<double>(text.size()), allocatedBytes() - before });
+        }
+        return slope;
+    }
+
+    capacity_slope changeTime(const capacity_options& options)
+    {
+        capacity_slope slope { "document-change", "bytes", "processor us" };
+        for (const auto part : partsOfTarget) {
+            const auto size = scaledTarget(part);
+            sample_core core(size, options.strategy);
+            const auto cost = processorMicroseconds([&] { core.changeDocument(); });
+            slope.points.push_back({ static_cast<double>(sampleDocument(size).size()), cost });
+        }
+        return slope;
+    }
+
+    constexpr auto table = std::to_array<slope_row>({
+        { "document-size", documentSize },
+        { "member-list-size", memberListSize },
+        { "document-parse", parseTime },
+        { "document-memory", parsedMemory },
+        { "document-change", changeTime },
+    });
+
+} // namespace
+
+std::span<const slope_row> documentSlopes()
+{
+    return table;
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/capacity/fleet_sample.cpp
@@ -0,0 +1,146 @@
+#include "kumquatbeam/capacity/fleet_sample.hpp"
+
+#include "kumquatbeam/types/credential_digest.hpp"
+
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace kumquatbeam {
+
+namespace {
+
+    constexpr std::int64_t sampleShare = 1000;
+    constexpr std::chrono::hours sampleDeadline { 1 };
+
+    std::string routerName(std::size_t index)
+    {
+        return absl::StrFormat("router%04d", index);
+    }
+
+    std::string accountName(std::size_t index)
+    {
+        return absl::StrFormat("account%04d", index);
+    }
+
+    std::string endpointName(std::size_t index)
+    {
+        return absl::StrFormat("endpoint%04d", index);
+    }
+
+    std::string domainName(std::size_t index, const fleet_size& size)
+    {
+        return absl::StrFormat("domain%02d", index % size.domains);
+    }
+
+    std::string poolName(std::size_t index)
+    {
+        return absl::StrFormat("model%d", index);
+    }
+
+    std::string addressOf(std::size_t index)
+    {
+        constexpr std::size_t hostsInNetwork = 250;
+        return absl::StrFormat("10.1.%d.%d", index / hostsInNetwork, index % hostsInNetwork + 1);
+    }
+
+} // namespace
+
+std::string sampleDocument(const fleet_size& size)
+{
+    std::string text;
+    for (std::size_t index = 0; index < size.accounts; ++index)
+        text += absl::StrFormat("[account %s]\nowner=accounts\nshare=%d\ncredential-sha256=%s\n", accountName(index),
+            sampleShare, credentialDigest(sampleCredential(index)));
+    for (std::size_t index = 0; index < size.pools; ++index)
+        text += absl::StrFormat("[pool %s]\nowner=models\nrepeatable=yes\n", poolName(index));
+    for (std::size_t index = 0; index < size.endpoints; ++index)
+        text += absl::StrFormat("[endpoint %s]\nowner=endpoints\npool=%s\ndomain=%s\naddress=%s\nport=9000\nslots=%d\n",
+            endpointName(index), poolName(index % size.pools), domainName(index, size), addressOf(index), targetSlots);
+    return text;
+}
+
+std::string sampleMembers(const fleet_size& size)
+{
+    std::string text;
+    for (std::size_t index = 0; index < size.routers; ++index)
+        text += absl::StrFormat("[entry-vm %s]\ndomain=%s\naddress=%s\npeer-port=7000\n", routerName(index),
+            domainName(index, size), addressOf(index));
+    return text;
+}
+
+std::string sampleCredential(std::size_t index)
+{
+    return "credential-of-" + accountName(index);
+}
+
+pool_view sampleView(const fleet_size& size, std::size_t backlogged)
+{
+    pool_view view {
+        .pool = { poolName(0) }, .self = { routerName(0) }, .domain = { domainName(0, size) }, .document = { 1 }
+    };
+    view.beat = std::chrono::milliseconds(250);
+    view.lease = std::chrono::milliseconds(1500);
+    for (std::size_t index = 0; index < size.accounts; ++index) {
+        account_backlog row { .account = { accountName(index) }, .share = { sampleShare } };
+        row.waiting = index < backlogged ? 1 : 0;
+        row.served = { static_cast<std::int64_t>(index) };
+        view.accounts.push_back(std::move(row));
+    }
+    for (std::size_t index = 0; index < size.endpoints; ++index)
+        view.endpoints.push_back({ .endpoint = { endpointName(index) },
+            .domain = { domainName(index, size) },
+            .slots = { static_cast<std::int32_t>(targetSlots) } });
+    for (std::size_t index = 0; index < size.routers; ++index)
+        view.routers.push_back({ { routerName(index) }, { domainName(index, size) }, true });
+    return view;
+}
+
+router_settings sampleSettings(const std::string& strategy)
+{
+    router_settings settings { .self = { routerName(0) }, .domain = { "domain00" } };
+    settings.strategy = strategy;
+    return settings;
+}
+
+void silent_outlet::send(endpoint_command command)
+{
+    if (auto* attempt = std::get_if<start_attempt>(&command))
+        m_lastAttempt = std::move(*attempt);
+}
+
+sample_core::sample_core(const fleet_size& size, const std::string& strategy)
+    : m_document(sampleDocument(size))
+    , m_core(sampleSettings(strategy), { 1 }, m_outlet, m_outlet)
+{
+    handle(document_published { { m_revision }, m_document });
+    handle(members_published { { 1 }, sampleMembers(size) });
+}
+
+request_id sample_core::admit(std::size_t account)
+{
+    auto call = std::make_shared<call_request>();
+    call->credential = sampleCredential(account);
+    call->pool = { poolName(0) };
+    call->target = "/generate";
+    call->body = "prompt";
+    call->deadline = clock::now() + sampleDeadline;
+    const request_id id { ++m_lastRequest };
+    handle(request_arrived { id, std::move(call) });
+    return id;
+}
+
+void sample_core::finish()
+{
+    const auto& attempt = m_outlet.lastAttempt();
+    handle(attempt_ended {
+        .id = attempt.id, .endpoint = attempt.to.endpoint, .outcome = attempt_outcome::Completed, .cost = { 1 } });
+}
+
+void sample_core::changeDocument()
+{
+    handle(document_published { { ++m_revision }, m_document });
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/capacity/fleet_sample.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "kumquatbeam/controllers/decision_core.hpp"
+#include "kumquatbeam/decisions/capacity_strategy.hpp"
+
+#include <cstddef>
+#include <string>
+#include <utility>
+
+namespace kumquatbeam {
+
+/// Size of a made-up fleet.
+struct fleet_size {
+    std::size_t accounts = 0;
+    std::size_t endpoints = 0;
+    std::size_t routers = 1;
+    std::size_t pools = 4;
+    std::size_t domains = 11;
+};
+
+/// The fleet that the users' letter asks for.
+inline constexpr fleet_size targetFleet { .accounts = 3500, .endpoints = 7700, .routers = 740 };
+
+/// Calls that one endpoint of the target runs at once.
+inline constexpr std::size_t targetSlots = 80;
+
+/// @{ Texts as operators and the platform would publish them.
+std::string sampleDocument(const fleet_size&);
+std::string sampleMembers(const fleet_size&);
+/// @}
+
+/// Credential of account number `index` of a sample document.
+std::string sampleCredential(std::size_t index);
+
+/// The view of one pool. The first `backlogged` accounts wait.
+pool_view sampleView(const fleet_size&, std::size_t backlogged);
+
+/// Settings of the first router of a sample member list.
+router_settings sampleSettings(const std::string& strategy);
+
+/// Takes commands and log records and does nothing with them but remember the last attempt.
+class silent_outlet final : public command_outlet, public decision_log {
+public:
+    void send(caller_command) override { }
+    void send(endpoint_command command) override;
+    void send(peer_command) override { ++m_peerMessages; }
+    void send(operator_command) override { }
+
+    void placed(const placement_record&) override { }
+    void refused(const refusal_record&) override { ++m_refusals; }
+    void changed(const change_record&) override { }
+    void failed(std::string_view, const failure&) override { }
+
+    const start_attempt& lastAttempt() const { return m_lastAttempt; }
+    std::size_t refusals() const { return m_refusals; }
+    std::size_t peerMessages() const { return m_peerMessages; }
+
+private:
+    start_attempt m_lastAttempt {};
+    std::size_t m_refusals = 0;
+    std::size_t m_peerMessages = 0;
+};
+
+/// A decision core that has read a sample document and member list.
+class sample_core {
+public:
+    sample_core(const fleet_size&, const std::string& strategy);
+
+    void handle(const decision_event& event) { m_core.handle(event, clock::now()); }
+
+    /// Has every deadline come due.
+    void beat() { m_core.onDeadline(std::max(clock::now(), m_core.nextDeadline())); }
+
+    /// Admits one request of account number `account`.
+    request_id admit(std::size_t account);
+
+    /// Ends the call that was started last.
+    void finish();
+
+    /// Publishes the document again under the next revision.
+    void changeDocument();
+
+    const silent_outlet& outlet() const { return m_outlet; }
+
+private:
+    std::string m_document;
+    silent_outlet m_outlet;
+    decision_core m_core;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_lastRequest = 0;
+};
+
+} // namespace kumquatbeam
