Serve metrics, and show status as a table

Ruled out: counting in each controller, which spreads one concern over all; a message for each measure to another duty. The controllers stay as they are: a tap between them and their outlet shows the metrics controller what they decide. Before: control bytes and service were in the status, nothing else. After: GET /metrics in the Prometheus text format with outcomes, failures, waits, attempts, first bytes, refusals of rings and floods, utilisation and the fairness gap among accounts that wait together. kumquatbeam-status prints a table.

--- a/apps/status.cpp
+++ b/apps/status.cpp
@@ -1,14 +1,9 @@
 #include "exit_code.hpp"
 
+#include "kumquatbeam/codec/status_table.hpp"
 #include "kumquatbeam/load/load_run.hpp"
+#include "kumquatbeam/sessions/operator_client.hpp"
 
-#include <boost/asio/connect.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 #include <docopt/docopt.h>
 
 #include <iostream>
@@ -18,29 +13,21 @@
 constexpr char usage[] = R"(kumquatbeam-status: asks a running router what it does.
 
 Usage:
-  kumquatbeam-status ADDRESS
+  kumquatbeam-status [--json | --metrics] ADDRESS
   kumquatbeam-status --help
   kumquatbeam-status --version
 
-ADDRESS is the router's operator address, ADDRESS:PORT. Prints JSON.
-Exit codes: 0 answered, 2 wrong command line, 4 the router cannot be reached.
-)";
+ADDRESS is the router's operator address, ADDRESS:PORT. Prints a short table: revisions, accounts with their shares,
+queues and service, endpoints, peers, and which peers are cut off.
 
-std::string fetchStatus(const boost::asio::ip::tcp::endpoint& router)
-{
-    namespace http = boost::beast::http;
-    constexpr unsigned http11 = 11;
-    boost::asio::io_context context;
-    boost::beast::tcp_stream stream(context);
-    stream.connect(router);
-    http::request<http::empty_body> request(http::verb::get, "/status", http11);
-    request.set(http::field::host, "router");
-    http::write(stream, request);
-    boost::beast::flat_buffer buffer;
-    http::response<http::string_body> response;
-    http::read(stream, buffer, response);
-    return response.body();
-}
+Options:
+  --json     Print the whole status as JSON.
+  --metrics  Print the metrics in the Prometheus text format.
+  --help     Show this text.
+  --version  Show the version.
+
+Exit codes: 0 answered, 1 the answer is not one of this version, 2 wrong command line, 4 the router cannot be reached.
+)";
 
 } // namespace
 
@@ -54,11 +41,21 @@
         std::cerr << "ADDRESS: allowed ADDRESS:PORT\n";
         return exitUsage;
     }
-    try {
-        std::cout << fetchStatus(routers.front());
-    } catch (const boost::system::system_error& error) {
-        std::cerr << "the router cannot be reached: " << error.what() << "\n";
+    const bool wantsMetrics = arguments.at("--metrics").asBool();
+    const auto page = fetchOperatorPage(routers.front(), wantsMetrics ? "/metrics" : "/status");
+    if (!page.ok()) {
+        std::cerr << "the router cannot be reached: " << page.status().message() << "\n";
         return exitUnreachable;
     }
+    if (wantsMetrics || arguments.at("--json").asBool()) {
+        std::cout << *page;
+        return exitOk;
+    }
+    const auto table = formatStatusTable(*page);
+    if (!table.ok()) {
+        std::cerr << table.status().message() << "\n";
+        return exitRefused;
+    }
+    std::cout << *table;
     return exitOk;
 }
--- /dev/null
+++ b/src/kumquatbeam/codec/metrics_text.cpp
@@ -0,0 +1,197 @@
+#include "kumquatbeam/codec/metrics_text.hpp"
+
+#include "kumquatbeam/codec/http_call.hpp"
+
+#include <array>
+#include <charconv>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace kumquatbeam {
+
+namespace {
+
+    /// A label's name and value.
+    using label = std::pair<std::string_view, std::string_view>;
+
+    /// The shortest text that reads back as the same number; whole up to 2^53.
+    std::string toNumber(double value)
+    {
+        constexpr std::size_t longestNumber = 32;
+        std::array<char, longestNumber> text {};
+        const auto [end, error] = std::to_chars(text.data(), text.data() + text.size(), value);
+        return { text.data(), end };
+    }
+
+    std::string escaped(std::string_view text)
+    {
+        std::string result;
+        for (const char character : text) {
+            if (character == '\\' || character == '"')
+                result.push_back('\\');
+            result.push_back(character == '\n' ? ' ' : character);
+        }
+        return result;
+    }
+
+    /// Writes families of metrics one after the other.
+    class metrics_writer {
+    public:
+        void family(std::string_view name, std::string_view type, std::string_view help)
+        {
+            m_family = "kumquatbeam_";
+            m_family += name;
+            append({ "# HELP ", m_family, " ", help, "\n# TYPE ", m_family, " ", type, "\n" });
+        }
+
+        void sample(std::initializer_list<label> labels, double value, std::string_view suffix = "")
+        {
+            append({ m_family, suffix });
+            std::string_view separator = "{";
+            for (const auto& [name, text] : labels)
+                append({ std::exchange(separator, ","), name, "=\"", escaped(text), "\"" });
+            append({ labels.size() > 0 ? "} " : " ", toNumber(value), "\n" });
+        }
+
+        /// A family of one sample.
+        void single(std::string_view name, std::string_view type, std::string_view help, double value)
+        {
+            family(name, type, help);
+            sample({}, value);
+        }
+
+        std::string take() { return std::move(m_text); }
+
+    private:
+        void append(std::initializer_list<std::string_view> parts)
+        {
+            for (const auto part : parts)
+                m_text += part;
+        }
+
+        std::string m_text;
+        std::string m_family;
+    };
+
+    template <typename Count> double number(Count count)
+    {
+        return static_cast<double>(count);
+    }
+
+    void writeDuration(
+        metrics_writer& out, const std::string& name, std::string_view help, const duration_report& duration)
+    {
+        out.family(name + "_seconds", "summary", help);
+        for (const auto& [probability, seconds] : duration.quantiles)
+            out.sample({ { "quantile", toNumber(probability) } }, seconds);
+        out.sample({}, duration.totalSeconds, "_sum");
+        out.sample({}, number(duration.count), "_count");
+        out.single(name + "_largest_seconds", "gauge", "Largest value since the start.", duration.largestSeconds);
+    }
+
+    void writeRequests(metrics_writer& out, const metrics_report& metrics)
+    {
+        out.family("requests_total", "counter", "Requests that ended, by outcome and failure.");
+        for (const auto& row : metrics.outcomes)
+            out.sample({ { "outcome", nameOf(row.kind) }, { "failure", nameOf(row.failure) } }, number(row.requests));
+        out.family("refused_by_flood_total", "counter", "Requests refused because their account sent too many.");
+        for (const auto& row : metrics.floods)
+            out.sample({ { "account", row.account.value } }, number(row.refused));
+        out.family("failures_total", "counter", "Failures that a part of the router logged.");
+        for (const auto& row : metrics.failures)
+            out.sample({ { "part", row.part }, { "failure", nameOf(row.failure) } }, number(row.times));
+        writeDuration(out, "queue_wait", "Time from admission to the first attempt.", metrics.queueWait);
+        writeDuration(out, "attempt", "Time that an attempt held its slot.", metrics.attempt);
+        writeDuration(out, "first_byte", "Time from admission to the head of a streamed answer.", metrics.firstByte);
+    }
+
+    /// One gauge for each pool.
+    struct pool_gauge {
+        std::string_view name;
+        std::string_view help;
+        double (*valueOf)(const pool_metrics&);
+    };
+
+    constexpr pool_gauge poolGauges[] = {
+        { "pool_slots", "Slots of the pool's endpoints.",
+            [](const pool_metrics& row) { return number(row.slots.value); } },
+        { "pool_running", "Calls of this router that run.",
+            [](const pool_metrics& row) { return number(row.running); } },
+        { "pool_reported_running", "Calls that the endpoints report, from all routers.",
+            [](const pool_metrics& row) { return number(row.reportedRunning); } },
+        { "pool_reported_waiting", "Calls that wait at the endpoints, as they report.",
+            [](const pool_metrics& row) { return number(row.reportedWaiting); } },
+        { "pool_utilisation", "Reported calls as a part of the slots.",
+            [](const pool_metrics& row) {
+                return row.slots.value == 0 ? 0 : number(row.reportedRunning) / number(row.slots.value);
+            } },
+        { "pool_backlogged_accounts", "Accounts with waiting requests in this router.",
+            [](const pool_metrics& row) { return number(row.backloggedAccounts); } },
+        { "pool_fairness_gap_slot_seconds",
+            "Largest difference in service for one share between accounts backlogged in this router.",
+            [](const pool_metrics& row) { return row.fairnessGap; } },
+        { "pool_largest_fairness_gap_slot_seconds", "Largest value of the fairness gap since the start.",
+            [](const pool_metrics& row) { return row.largestFairnessGap; } },
+    };
+
+    void writePools(metrics_writer& out, const metrics_report& metrics)
+    {
+        for (const auto& gauge : poolGauges) {
+            out.family(gauge.name, "gauge", gauge.help);
+            for (const auto& row : metrics.pools)
+                out.sample({ { "pool", row.pool.value } }, gauge.valueOf(row));
+        }
+    }
+
+    /// Accounts without a request so far are left out: most of thousands are idle.
+    void writeAccounts(metrics_writer& out, const status_report& report)
+    {
+        out.family("account_served_slot_seconds_total", "counter", "Service of the account in this router.");
+        constexpr double microsecondsInSecond = 1e6;
+        for (const auto& row : report.accounts) {
+            if (row.served.value > 0)
+                out.sample({ { "pool", row.pool.value }, { "account", row.account.value } },
+                    number(row.served.value) / microsecondsInSecond);
+        }
+        out.family("account_waiting", "gauge", "Requests of the account that wait in this router.");
+        for (const auto& row : report.accounts) {
+            if (row.waiting > 0)
+                out.sample({ { "pool", row.pool.value }, { "account", row.account.value } }, number(row.waiting));
+        }
+    }
+
+    void writeRouter(metrics_writer& out, const status_report& report)
+    {
+        out.single("ready", "gauge", "Whether the router has an accepted document.", report.isReady ? 1 : 0);
+        out.single("draining", "gauge", "Whether the router is shutting down.", report.isDraining ? 1 : 0);
+        out.single("document_revision", "gauge", "Revision of the document in force.", number(report.document.value));
+        out.single("members_revision", "gauge", "Revision of the member list.", number(report.members.value));
+        out.single("control_sent_bytes_total", "counter", "Bytes of frames to other routers.",
+            number(report.controlBytesSent));
+        out.single(
+            "control_sent_frames_total", "counter", "Frames to other routers.", number(report.controlFramesSent));
+        out.single("control_received_bytes_total", "counter", "Bytes of frames from other routers.",
+            number(report.controlBytesReceived));
+        out.family("peer_connected", "gauge", "Whether a listed router is connected.");
+        for (const auto& row : report.peers)
+            out.sample({ { "peer", row.peer.value } }, row.isConnected ? 1 : 0);
+        out.family("ring_refused_total", "counter", "Messages that a duty's full ring refused.");
+        for (const auto& row : report.rings)
+            out.sample({ { "duty", row.duty } }, number(row.refused));
+    }
+
+} // namespace
+
+std::string encodeMetrics(const status_report& report)
+{
+    metrics_writer out;
+    writeRouter(out, report);
+    writeRequests(out, report.metrics);
+    writePools(out, report.metrics);
+    writeAccounts(out, report);
+    return out.take();
+}
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/decision_core.cpp
+++ b/src/kumquatbeam/controllers/decision_core.cpp
@@ -1,5 +1,6 @@
 #include "kumquatbeam/controllers/decision_core.hpp"
 
+#include "kumquatbeam/controllers/decision_tap.hpp"
 #include "kumquatbeam/filters/account_filter.hpp"
 #include "kumquatbeam/filters/deadline_filter.hpp"
 #include "kumquatbeam/filters/drain_filter.hpp"
@@ -16,11 +17,13 @@
     , m_life(life)
     , m_commands(commands)
     , m_log(log)
+    , m_metrics(m_configuration)
     , m_membership(m_settings.self, m_configuration)
     , m_placement(m_settings, m_configuration, m_membership)
     , m_drain(m_settings)
 {
     m_controllers.push_back(&m_configuration);
+    m_controllers.push_back(&m_metrics);
     m_controllers.push_back(&m_membership);
     m_controllers.push_back(&m_placement);
     m_controllers.push_back(&m_reply);
@@ -35,7 +38,8 @@
 
 void decision_core::handle(const decision_event& event, time_point now)
 {
-    decision_context context { now, m_commands, m_log, m_raised };
+    decision_tap tap(m_commands, m_log, m_metrics, now);
+    decision_context context { now, tap, tap, m_raised };
     dispatch(event, context);
     settleRaised(context);
 }
@@ -50,7 +54,8 @@
 
 void decision_core::onDeadline(time_point now)
 {
-    decision_context context { now, m_commands, m_log, m_raised };
+    decision_tap tap(m_commands, m_log, m_metrics, now);
+    decision_context context { now, tap, tap, m_raised };
     for (auto* part : m_controllers) {
         if (part->nextDeadline() <= now)
             part->onDeadline(context);
@@ -77,6 +82,7 @@
         context.raised.emplace_back(request_admitted { std::move(request) });
         return;
     }
+    m_metrics.observe(verdict->reply);
     if (verdict->reply.problem)
         context.log.refused(
             { arrived.id, request.account, arrived.call->pool, verdict->filter, *verdict->reply.problem });
--- a/src/kumquatbeam/controllers/decision_core.hpp
+++ b/src/kumquatbeam/controllers/decision_core.hpp
@@ -7,6 +7,7 @@
 #include "kumquatbeam/controllers/decision_log.hpp"
 #include "kumquatbeam/controllers/drain_controller.hpp"
 #include "kumquatbeam/controllers/membership_controller.hpp"
+#include "kumquatbeam/controllers/metrics_controller.hpp"
 #include "kumquatbeam/controllers/placement_controller.hpp"
 #include "kumquatbeam/controllers/reply_controller.hpp"
 #include "kumquatbeam/filters/filter_chain.hpp"
@@ -42,6 +43,7 @@
     std::deque<decision_event> m_raised;
 
     configuration_controller m_configuration;
+    metrics_controller m_metrics;
     membership_controller m_membership;
     placement_controller m_placement;
     reply_controller m_reply;
--- a/src/kumquatbeam/controllers/decision_event.hpp
+++ b/src/kumquatbeam/controllers/decision_event.hpp
@@ -66,6 +66,11 @@
     service_cost cost {};
 };
 
+/// The head of a streamed answer has come for the caller.
+struct answer_begun {
+    request_id id;
+};
+
 /// What an endpoint reports about itself. It lags.
 struct endpoint_load {
     endpoint_id endpoint;
@@ -118,7 +123,7 @@
 
 /// Everything that reaches the decisions duty.
 using decision_event = std::variant<request_arrived, request_admitted, request_ended, request_abandoned, attempt_ended,
-    load_observed, document_published, members_published, peer_connected, peer_lost, peer_received, status_requested,
-    shutdown_requested>;
+    answer_begun, load_observed, document_published, members_published, peer_connected, peer_lost, peer_received,
+    status_requested, shutdown_requested>;
 
 } // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/controllers/decision_tap.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "kumquatbeam/controllers/metrics_controller.hpp"
+
+namespace kumquatbeam {
+
+/// Passes commands and log records on, and shows the metrics controller what it counts.
+class decision_tap final : public command_outlet, public decision_log {
+public:
+    decision_tap(command_outlet&, decision_log&, metrics_controller&, time_point now);
+
+    void send(caller_command) override;
+    void send(endpoint_command) override;
+    void send(peer_command) override;
+    void send(operator_command) override;
+
+    void placed(const placement_record&) override;
+    void refused(const refusal_record&) override;
+    void changed(const change_record&) override;
+    void failed(std::string_view part, const failure&) override;
+
+private:
+    command_outlet& m_commands;
+    decision_log& m_log;
+    metrics_controller& m_metrics;
+    time_point m_now;
+};
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/controllers/metrics_report.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "kumquatbeam/types/call.hpp"
+#include "kumquatbeam/types/failure.hpp"
+#include "kumquatbeam/types/ids.hpp"
+#include "kumquatbeam/types/units.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace kumquatbeam {
+
+/// A quantile of a distribution, in seconds.
+struct quantile_report {
+    double probability = 0;
+    double seconds = 0;
+};
+
+/// How long something took, over all times that it happened.
+struct duration_report {
+    std::uint64_t count = 0;
+    double totalSeconds = 0;
+    double largestSeconds = 0;
+    /// Empty while there are too few observations.
+    std::vector<quantile_report> quantiles;
+};
+
+/// Requests that ended alike.
+struct outcome_count {
+    reply_kind kind = reply_kind::Answered;
+    failure_kind failure = failure_kind::None;
+    std::uint64_t requests = 0;
+};
+
+/// Failures that a part logged, such as refused documents.
+struct failure_count {
+    std::string part;
+    failure_kind failure = failure_kind::None;
+    std::uint64_t times = 0;
+};
+
+/// Requests of an account that were refused because it sent too many.
+struct flood_count {
+    client_account_id account;
+    std::uint64_t refused = 0;
+};
+
+/// Capacity and fairness of one pool, as this router knows them.
+struct pool_metrics {
+    pool_id pool;
+    slot_count slots;
+    /// Calls of this router that run.
+    std::int64_t running = 0;
+    /// Calls that the endpoints report, from all routers.
+    std::int64_t reportedRunning = 0;
+    std::int64_t reportedWaiting = 0;
+    std::size_t backloggedAccounts = 0;
+    /// Largest difference in service by share between backlogged accounts, in slot-seconds for one share.
+    double fairnessGap = 0;
+    double largestFairnessGap = 0;
+};
+
+/// What the metrics controller has counted since the start.
+struct metrics_report {
+    std::vector<outcome_count> outcomes;
+    std::vector<failure_count> failures;
+    std::vector<flood_count> floods;
+    std::vector<pool_metrics> pools;
+    duration_report queueWait;
+    duration_report attempt;
+    duration_report firstByte;
+};
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/status_report.hpp
+++ b/src/kumquatbeam/controllers/status_report.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kumquatbeam/controllers/metrics_report.hpp"
 #include "kumquatbeam/types/ids.hpp"
 #include "kumquatbeam/types/units.hpp"
 
@@ -35,6 +36,13 @@
     revision document;
 };
 
+/// One duty's ring.
+struct ring_status {
+    std::string duty;
+    /// Messages that were refused because the ring was full.
+    std::uint64_t refused = 0;
+};
+
 /// What an operator sees of a router.
 struct status_report {
     entry_vm_id self;
@@ -52,6 +60,8 @@
     std::vector<account_status> accounts;
     std::vector<endpoint_state> endpoints;
     std::vector<peer_status> peers;
+    std::vector<ring_status> rings;
+    metrics_report metrics;
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/duties/callers_duty.cpp
+++ b/src/kumquatbeam/duties/callers_duty.cpp
@@ -82,7 +82,11 @@
     };
     const event_handlers handlers {
         [&](reply_to_caller&& reply) { deliver(std::move(reply)); },
-        [&](answer_head&& head) { deliver(std::move(head)); },
+        [&](answer_head&& head) {
+            // Only metrics want to know; a full ring may drop it.
+            static_cast<void>(m_links.decisions->tryPost(answer_begun { head.id }));
+            deliver(std::move(head));
+        },
         [&](answer_piece&& piece) { deliver(std::move(piece)); },
         [&](answer_end&& end) { deliver(end); },
         [&](set_ready&& ready) { m_isReady = ready.isReady; },
--- a/src/kumquatbeam/duties/operators_duty.cpp
+++ b/src/kumquatbeam/duties/operators_duty.cpp
@@ -1,11 +1,14 @@
 #include "kumquatbeam/duties/operators_duty.hpp"
 
+#include "kumquatbeam/codec/metrics_text.hpp"
 #include "kumquatbeam/codec/status_json.hpp"
 #include "kumquatbeam/duties/listen.hpp"
 #include "kumquatbeam/duties/ring_sizes.hpp"
 #include "kumquatbeam/types/event_handlers.hpp"
 
+#include <algorithm>
 #include <csignal>
+#include <iterator>
 #include <utility>
 
 namespace kumquatbeam {
@@ -38,13 +41,13 @@
 void operators_duty::handle(
     const std::shared_ptr<operator_session>& session, http::verb method, const std::string& target)
 {
-    if (method == http::verb::get && target == "/status") {
+    if (const auto* format = formatOf(target); format && method == http::verb::get) {
         const request_id query { ++m_lastQuery };
         if (!m_links.decisions->tryPost(status_requested { query })) {
             session->respond(http::status::service_unavailable, "text/plain", "overloaded\n");
             return;
         }
-        m_queries.emplace(query, session);
+        m_queries.emplace(query, open_query { session, format });
         return;
     }
     if (method == http::verb::post && target == "/drain") {
@@ -52,7 +55,34 @@
         session->respond(http::status::accepted, "text/plain", "draining\n");
         return;
     }
-    session->respond(http::status::not_found, "text/plain", "GET /status or POST /drain\n");
+    session->respond(http::status::not_found, "text/plain", "GET /status, GET /metrics or POST /drain\n");
+}
+
+const operators_duty::query_format* operators_duty::formatOf(std::string_view target)
+{
+    static constexpr query_format formats[] = {
+        { "/status", "application/json", encodeStatus },
+        { "/metrics", "text/plain; version=0.0.4", encodeMetrics },
+    };
+    const auto* found = std::find_if(std::begin(formats), std::end(formats),
+        [target](const query_format& candidate) { return candidate.target == target; });
+    return found == std::end(formats) ? nullptr : found;
+}
+
+void operators_duty::answer(status_reply reply)
+{
+    auto& report = reply.report;
+    report.controlBytesSent = m_links.traffic->bytesSent;
+    report.controlFramesSent = m_links.traffic->framesSent;
+    report.controlBytesReceived = m_links.traffic->bytesReceived;
+    report.rings = { { "decisions", m_links.decisions->refused() }, { "callers", m_links.callers->refused() },
+        { "endpoints", m_links.endpoints->refused() }, { "peers", m_links.peers->refused() },
+        { "operators", m_links.operators->refused() } };
+    const auto query = m_queries.extract(reply.query);
+    if (query.empty())
+        return;
+    const auto& [session, format] = query.mapped();
+    session->respond(http::status::ok, std::string(format->contentType), format->encode(report));
 }
 
 void operators_duty::accept()
@@ -79,14 +109,7 @@
 void operators_duty::handle(operator_command command)
 {
     const event_handlers handlers {
-        [&](status_reply&& reply) {
-            reply.report.controlBytesSent = m_links.traffic->bytesSent;
-            reply.report.controlFramesSent = m_links.traffic->framesSent;
-            reply.report.controlBytesReceived = m_links.traffic->bytesReceived;
-            auto query = m_queries.extract(reply.query);
-            if (!query.empty())
-                query.mapped()->respond(http::status::ok, "application/json", encodeStatus(reply.report));
-        },
+        [&](status_reply&& reply) { answer(std::move(reply)); },
         [&](finish_process&&) { m_whenFinished(); },
     };
     std::visit(handlers, std::move(command));
--- a/src/kumquatbeam/duties/operators_duty.hpp
+++ b/src/kumquatbeam/duties/operators_duty.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string_view>
 
 namespace kumquatbeam {
 
@@ -29,6 +30,21 @@
 private:
     void handle(const std::shared_ptr<operator_session>&, boost::beast::http::verb, const std::string& target) override;
 
+    /// How the answer to a query is written.
+    struct query_format {
+        std::string_view target;
+        std::string_view contentType;
+        std::string (*encode)(const status_report&);
+    };
+
+    struct open_query {
+        std::shared_ptr<operator_session> session;
+        const query_format* format = nullptr;
+    };
+
+    static const query_format* formatOf(std::string_view target);
+
+    void answer(status_reply);
     void accept();
     void awaitSignal();
     void handle(operator_command);
@@ -39,7 +55,7 @@
     duty<operator_command> m_duty;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::signal_set m_signals;
-    std::map<request_id, std::shared_ptr<operator_session>> m_queries;
+    std::map<request_id, open_query> m_queries;
     std::uint64_t m_lastQuery = 0;
 };
 
