Lease slots to routers by arbiters, with quotas for each account

Cause: routers were fair only by themselves, so the gap over the fleet grew. Ruled out: counters alone, which move no slots; a grant for each call. Before: local-only and static-slices. After: shared-counters as a baseline and leased-quotas as the default, with unit tests that feed views and messages by hand; status names arbiters, leases and leads. Conclusion: the unit tests pass; gap, utilisation and traffic are not yet measured.

--- a/src/kumquatbeam/codec/status_json.cpp
+++ b/src/kumquatbeam/codec/status_json.cpp
@@ -4,6 +4,24 @@
 
 namespace kumquatbeam {
 
+namespace {
+
+    nlohmann::ordered_json encodePool(const pool_status& pool)
+    {
+        nlohmann::ordered_json json { { "pool", pool.pool.value }, { "mean_cost_slot_us", pool.meanCost.value } };
+        json["domains"] = nlohmann::ordered_json::array();
+        for (const auto& row : pool.division.domains)
+            json["domains"].push_back(
+                { { "domain", row.domain.value }, { "arbiter", row.arbiter.value }, { "leased", row.leased.value } });
+        json["leads"] = nlohmann::ordered_json::array();
+        for (const auto& row : pool.division.accounts)
+            json["leads"].push_back(
+                { { "account", row.account.value }, { "lead_slot_us_per_share_thousandth", row.lead } });
+        return json;
+    }
+
+} // namespace
+
 std::string encodeStatus(const status_report& report)
 {
     nlohmann::ordered_json json {
@@ -19,6 +37,9 @@
         { "control_frames_sent", report.controlFramesSent },
         { "control_bytes_received", report.controlBytesReceived },
     };
+    json["pools"] = nlohmann::ordered_json::array();
+    for (const auto& pool : report.pools)
+        json["pools"].push_back(encodePool(pool));
     json["accounts"] = nlohmann::ordered_json::array();
     for (const auto& row : report.accounts) {
         json["accounts"].push_back(
--- a/src/kumquatbeam/controllers/placement_controller.cpp
+++ b/src/kumquatbeam/controllers/placement_controller.cpp
@@ -25,6 +25,18 @@
         return row != view.endpoints.end() && row->endpoint == id ? &*row : nullptr;
     }
 
+    /// Weight of one more call in the mean cost of a call: one in this many.
+    constexpr std::int64_t meanCostWindow = 32;
+
+    void learnCost(pool_view& view, service_cost cost)
+    {
+        if (cost.value <= 0)
+            return;
+        view.meanCost.value = view.meanCost.value == 0
+            ? cost.value
+            : view.meanCost.value + (cost.value - view.meanCost.value) / meanCostWindow;
+    }
+
 } // namespace
 
 placement_controller::placement_controller(const router_settings& settings,
@@ -85,6 +97,7 @@
     for (const auto& [id, pool] : m_pools) {
         for (const auto& row : pool.view.accounts)
             report.accounts.push_back({ id, row.account, row.share, row.waiting, row.running, row.served });
+        report.pools.push_back({ id, pool.view.meanCost, pool.strategy->describe(pool.view) });
         for (const auto& row : pool.view.endpoints)
             report.endpoints.push_back({ row.endpoint, id, row.slots, row.running, !row.isUsable });
     }
@@ -142,6 +155,7 @@
             --account->running;
             account->served += ended.cost;
         }
+        learnCost(state->second.view, ended.cost);
         if (auto* endpoint = findEndpoint(state->second.view, call.endpoint))
             endpoint->running -= slot_count { 1 };
     }
@@ -220,6 +234,7 @@
     view.document = document->current;
     view.beat = pool.beat;
     view.lease = pool.lease;
+    view.meanCost = old.meanCost;
     for (const auto& [id, account] : document->accounts) {
         account_backlog row { .account = id, .share = account.share };
         if (const auto* before = findAccount(old, id)) {
@@ -237,8 +252,12 @@
         row.isUsable = !m_membership.isLeaving(id);
         view.endpoints.push_back(std::move(row));
     }
-    for (const auto& [id, vm] : m_membership.members().entryVms)
-        view.routers.push_back({ id, vm.domain, id == m_settings.self || m_membership.connectedPeers().contains(id) });
+    for (const auto& [id, vm] : m_membership.members().entryVms) {
+        const auto peer = m_membership.connectedPeers().find(id);
+        const bool isConnected = peer != m_membership.connectedPeers().end();
+        view.routers.push_back(
+            { id, vm.domain, id == m_settings.self || isConnected, isConnected ? peer->second.life : incarnation {} });
+    }
 }
 
 void placement_controller::dropOrphans(decision_context& context)
--- a/src/kumquatbeam/controllers/status_report.hpp
+++ b/src/kumquatbeam/controllers/status_report.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kumquatbeam/decisions/capacity_strategy.hpp"
 #include "kumquatbeam/types/ids.hpp"
 #include "kumquatbeam/types/units.hpp"
 
@@ -35,6 +36,13 @@
     revision document;
 };
 
+/// One pool, as this router sees it.
+struct pool_status {
+    pool_id pool;
+    service_cost meanCost;
+    strategy_state division;
+};
+
 /// What an operator sees of a router.
 struct status_report {
     entry_vm_id self;
@@ -49,6 +57,7 @@
     std::uint64_t controlBytesSent = 0;
     std::uint64_t controlFramesSent = 0;
     std::uint64_t controlBytesReceived = 0;
+    std::vector<pool_status> pools;
     std::vector<account_status> accounts;
     std::vector<endpoint_state> endpoints;
     std::vector<peer_status> peers;
--- a/src/kumquatbeam/decisions/capacity_strategy.cpp
+++ b/src/kumquatbeam/decisions/capacity_strategy.cpp
@@ -1,6 +1,8 @@
 #include "kumquatbeam/decisions/capacity_strategy.hpp"
 
+#include "kumquatbeam/decisions/leased_quotas.hpp"
 #include "kumquatbeam/decisions/local_strategy.hpp"
+#include "kumquatbeam/decisions/shared_counters.hpp"
 
 #include <algorithm>
 #include <array>
@@ -20,6 +22,11 @@
             [] { return std::unique_ptr<capacity_strategy>(new local_strategy(slot_division::WholePool)); } },
         { "static-slices",
             [] { return std::unique_ptr<capacity_strategy>(new local_strategy(slot_division::StaticSlice)); } },
+        { "shared-counters",
+            [] { return std::unique_ptr<capacity_strategy>(new shared_counters(slot_division::StaticSlice)); } },
+        { "shared-counters-whole-pool",
+            [] { return std::unique_ptr<capacity_strategy>(new shared_counters(slot_division::WholePool)); } },
+        { "leased-quotas", [] { return std::unique_ptr<capacity_strategy>(new leased_quotas); } },
     });
 
 } // namespace
--- a/src/kumquatbeam/decisions/capacity_strategy.hpp
+++ b/src/kumquatbeam/decisions/capacity_strategy.hpp
@@ -41,6 +41,8 @@
     failure_domain_id domain;
     /// Whether the router is connected and neither silent nor leaving; always so for this router itself.
     bool isReachable = false;
+    /// Its incarnation by its last greeting; unset for this router itself and before the first greeting.
+    incarnation life {};
 };
 
 /// All that a strategy knows about its pool when it decides. Rows are sorted by id.
@@ -51,6 +53,8 @@
     revision document;
     std::chrono::milliseconds beat { 0 };
     std::chrono::milliseconds lease { 0 };
+    /// What a call costs on average; running calls are charged this much until they end.
+    service_cost meanCost;
     std::vector<account_backlog> accounts;
     std::vector<endpoint_capacity> endpoints;
     std::vector<router_presence> routers;
@@ -73,6 +77,26 @@
     peer_message message;
 };
 
+/// Who arbitrates the pool's slots in one failure domain, and what this router holds there.
+struct domain_division {
+    failure_domain_id domain;
+    /// Empty where no router can arbitrate.
+    entry_vm_id arbiter;
+    slot_count leased;
+};
+
+/// What an operator sees of a strategy's state.
+struct strategy_state {
+    /// Normalised service of one account: slot-microseconds for each thousandth of a share, above the least served.
+    struct account_row {
+        client_account_id account;
+        double lead = 0;
+    };
+
+    std::vector<domain_division> domains;
+    std::vector<account_row> accounts;
+};
+
 /// Divides the slots of one pool between the routers of the fleet and picks who goes next. One object for each pool.
 class capacity_strategy {
 public:
@@ -92,6 +116,9 @@
 
     /// Speaks to the peers.
     virtual std::vector<addressed_message> beat(const pool_view&, time_point now);
+
+    /// What operators may see.
+    virtual strategy_state describe(const pool_view&) const { return {}; }
 };
 
 /// Makes the strategy with this name, or returns null.
--- a/src/kumquatbeam/decisions/local_strategy.cpp
+++ b/src/kumquatbeam/decisions/local_strategy.cpp
@@ -50,35 +50,30 @@
     const auto* account = leastServedAccount(view);
     if (!account)
         return std::nullopt;
-    const endpoint_capacity* best = nullptr;
-    const endpoint_capacity* second = nullptr;
-    for (std::size_t index = 0; index < view.endpoints.size(); ++index) {
-        const auto& endpoint = view.endpoints[index];
-        if (!endpoint.isUsable || endpoint.running >= slotsAt(view, index))
-            continue;
-        if (!best || endpoint.running < best->running) {
-            second = best;
-            best = &endpoint;
-        } else if (!second || endpoint.running < second->running) {
-            second = &endpoint;
-        }
-    }
-    if (!best)
+    const auto endpoint
+        = leastLoadedEndpoint(view, [&](std::size_t index) { return slotsWithoutAsking(view, index, m_division); });
+    if (!endpoint.best)
         return std::nullopt;
+    return describeChoice(*account, endpoint, "least service by share, fewest calls");
+}
+
+slot_count slotsWithoutAsking(const pool_view& view, std::size_t endpointIndex, slot_division division)
+{
+    return division == slot_division::WholePool ? view.endpoints[endpointIndex].slots
+                                                : staticSlice(view, endpointIndex);
+}
+
+placement_choice describeChoice(
+    const account_backlog& account, const endpoint_choice& endpoint, std::string_view reason, time_point sendBefore)
+{
     placement_choice choice {
-        .account = account->account, .endpoint = best->endpoint, .reason = "least service by share, fewest calls"
+        .account = account.account, .endpoint = endpoint.best->endpoint, .sendBefore = sendBefore, .reason = reason
     };
-    if (second) {
-        choice.runnerUp = second->endpoint;
+    if (endpoint.second) {
+        choice.runnerUp = endpoint.second->endpoint;
         choice.runnerUpReason = "more calls";
     }
     return choice;
 }
 
-slot_count local_strategy::slotsAt(const pool_view& view, std::size_t endpointIndex) const
-{
-    return m_division == slot_division::WholePool ? view.endpoints[endpointIndex].slots
-                                                  : staticSlice(view, endpointIndex);
-}
-
 } // namespace kumquatbeam
--- a/src/kumquatbeam/decisions/local_strategy.hpp
+++ b/src/kumquatbeam/decisions/local_strategy.hpp
@@ -2,6 +2,8 @@
 
 #include "kumquatbeam/decisions/capacity_strategy.hpp"
 
+#include <algorithm>
+
 namespace kumquatbeam {
 
 /// Which slots a router takes for its own without asking.
@@ -24,8 +26,6 @@
     std::optional<placement_choice> choose(const pool_view&, time_point now) override;
 
 private:
-    slot_count slotsAt(const pool_view&, std::size_t endpointIndex) const;
-
     slot_division m_division;
 };
 
@@ -36,4 +36,35 @@
 /// over goes to a different router at each endpoint.
 slot_count staticSlice(const pool_view&, std::size_t endpointIndex);
 
+/// Slots of the endpoint that a router takes without asking.
+slot_count slotsWithoutAsking(const pool_view&, std::size_t endpointIndex, slot_division);
+
+/// The endpoint with the fewest calls among those that have a slot left, and the second best.
+struct endpoint_choice {
+    const endpoint_capacity* best = nullptr;
+    const endpoint_capacity* second = nullptr;
+};
+
+/// Picks an endpoint; `slotsAt` gives the slots that the router may use at the endpoint with that index.
+template <typename SlotsAt> endpoint_choice leastLoadedEndpoint(const pool_view& view, SlotsAt slotsAt)
+{
+    endpoint_choice choice;
+    for (std::size_t index = 0; index < view.endpoints.size(); ++index) {
+        const auto& endpoint = view.endpoints[index];
+        if (!endpoint.isUsable || endpoint.running >= std::min(endpoint.slots, slotsAt(index)))
+            continue;
+        if (!choice.best || endpoint.running < choice.best->running) {
+            choice.second = choice.best;
+            choice.best = &endpoint;
+        } else if (!choice.second || endpoint.running < choice.second->running) {
+            choice.second = &endpoint;
+        }
+    }
+    return choice;
+}
+
+/// The choice of an account and an endpoint, with its reasons.
+placement_choice describeChoice(
+    const account_backlog&, const endpoint_choice&, std::string_view reason, time_point sendBefore = never);
+
 } // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/decisions/need_reporter.cpp
@@ -0,0 +1,64 @@
+#include "kumquatbeam/decisions/need_reporter.hpp"
+
+#include "kumquatbeam/types/wire_key.hpp"
+
+#include <utility>
+
+namespace kumquatbeam {
+
+namespace {
+
+    bool isSame(const slot_report::account_row& left, const slot_report::account_row& right)
+    {
+        return left.waiting == right.waiting && left.running == right.running && left.served == right.served;
+    }
+
+} // namespace
+
+std::optional<slot_report> need_reporter::reportTo(const entry_vm_id& arbiter, incarnation life,
+    const domain_set& domains, const pool_view& view, const lease_holder& holder, time_point now)
+{
+    auto& sent = m_sent[arbiter];
+    const bool isNew = sent.life != life || sent.domains != domains;
+    const bool isWhole = isNew || now >= sent.wholeAt;
+    if (isNew)
+        sent = { life, domains, {}, {}, {} };
+    if (isWhole)
+        sent.wholeAt = now + view.lease;
+    slot_report report { .pool = wireKeyOf(view.pool), .document = view.document };
+    for (const auto& account : view.accounts) {
+        const slot_report::account_row row { wireKeyOf(account.account), static_cast<std::uint32_t>(account.waiting),
+            static_cast<std::uint32_t>(account.running), account.served };
+        auto& known = sent.accounts[row.account];
+        const bool isWorthTelling = isWhole && (row.served.value > 0 || row.waiting > 0);
+        if (!isSame(row, known) || isWorthTelling)
+            report.accounts.push_back(row);
+        known = row;
+        if (row.waiting > 0)
+            m_reportedNeed.insert(account.account);
+        else
+            m_reportedNeed.erase(account.account);
+    }
+    for (const auto& endpoint : view.endpoints) {
+        if (!domains.contains(endpoint.domain))
+            continue;
+        const auto key = wireKeyOf(endpoint.endpoint);
+        const sent_endpoint row { holder.leasedAt(endpoint.domain, key), endpoint.running };
+        if (std::exchange(sent.endpoints[key], row) != row || isWhole)
+            report.endpoints.push_back({ key, row.leased, row.running });
+    }
+    if (report.accounts.empty() && report.endpoints.empty())
+        return std::nullopt;
+    return report;
+}
+
+bool need_reporter::hasUnreportedNeed(const pool_view& view) const
+{
+    for (const auto& account : view.accounts) {
+        if (account.waiting > 0 && !m_reportedNeed.contains(account.account))
+            return true;
+    }
+    return false;
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/decisions/service_ledger.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "kumquatbeam/types/ids.hpp"
+#include "kumquatbeam/types/peer_message.hpp"
+#include "kumquatbeam/types/units.hpp"
+
+#include <map>
+#include <vector>
+
+namespace kumquatbeam {
+
+/// Service of accounts over the whole fleet: a counter for each router and account, merged by maximum, so that repeated
+/// and late reports do no harm. What a router served before its first report is not counted.
+class service_ledger {
+public:
+    /// Takes in counters of a router's incarnation. A new incarnation starts from zero and takes nothing back.
+    void record(const entry_vm_id& router, incarnation life, const std::vector<slot_report::account_row>&);
+
+    /// Service of the account since the ledger started.
+    service_cost total(wire_key account) const;
+
+private:
+    struct router_counters {
+        incarnation life;
+        std::map<wire_key, service_cost> highest;
+    };
+
+    std::map<entry_vm_id, router_counters> m_routers;
+    std::map<wire_key, service_cost> m_totals;
+};
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/decisions/shared_counters.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "kumquatbeam/decisions/local_strategy.hpp"
+#include "kumquatbeam/decisions/service_ledger.hpp"
+
+namespace kumquatbeam {
+
+/// Baseline: routers exchange service counters each beat, and the account with the least service by share over the
+/// whole fleet goes next. No slots move between routers.
+class shared_counters final : public capacity_strategy {
+public:
+    explicit shared_counters(slot_division division)
+        : m_division(division)
+    {
+    }
+
+    std::string_view name() const override;
+    std::optional<placement_choice> choose(const pool_view&, time_point now) override;
+    void receive(const entry_vm_id& from, const peer_message&, const pool_view&, time_point now) override;
+    time_point nextBeat() const override { return m_beatAt; }
+    std::vector<addressed_message> beat(const pool_view&, time_point now) override;
+
+private:
+    double normalisedService(const account_backlog&) const;
+
+    slot_division m_division;
+    service_ledger m_others;
+    std::map<wire_key, service_cost> m_sent;
+    time_point m_beatAt = time_point::min();
+};
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/decisions/slot_arbiter.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "kumquatbeam/decisions/capacity_strategy.hpp"
+#include "kumquatbeam/decisions/fair_division.hpp"
+#include "kumquatbeam/decisions/lease_holder.hpp"
+#include "kumquatbeam/decisions/service_ledger.hpp"
+
+#include <map>
+#include <vector>
+
+namespace kumquatbeam {
+
+/// A grant and the router that it is for.
+struct addressed_grant {
+    entry_vm_id to;
+    slot_grant grant;
+};
+
+/// Arbitrates the slots of one pool in one failure domain between the routers of the fleet.
+class slot_arbiter {
+public:
+    /// `openAt`: before this time only what holders report is renewed, since others may still hold the rest.
+    slot_arbiter(failure_domain_id domain, time_point openAt, const lease_holder& predecessor, const pool_view&);
+
+    /// Takes in a holder's report; says whether it should be answered before the next beat.
+    bool receive(const router_presence& from, const slot_report&);
+
+    /// Divides the slots and returns the grants that say something new or renew a lease.
+    std::vector<addressed_grant> divide(const pool_view&, time_point now);
+
+    /// Normalised service of the account: slot-microseconds for each thousandth of a share.
+    double normalisedService(const account_backlog&) const;
+
+private:
+    /// Slots at one endpoint that a router may hold.
+    struct held_slots {
+        slot_count granted;
+        slot_count leased;
+        slot_count running;
+
+        bool isConfirmed() const { return granted == leased; }
+        slot_count most() const;
+    };
+    struct account_need {
+        std::uint32_t waiting = 0;
+        std::uint32_t running = 0;
+        std::uint32_t quota = 0;
+
+        std::int64_t demand() const { return static_cast<std::int64_t>(waiting) + running; }
+    };
+    struct router_record {
+        incarnation life;
+        bool isReachable = true;
+        std::map<wire_key, account_need> needs;
+        std::map<wire_key, held_slots> slots;
+        /// After this time a router that does not answer holds nothing any more.
+        time_point leaseEndsAt = time_point::min();
+        time_point renewAt = time_point::min();
+        bool isChanged = false;
+
+        slot_count granted() const;
+    };
+    /// The accounts that want slots, as rows that stand side by side.
+    struct account_table {
+        std::vector<wire_key> keys;
+        std::vector<double> levels;
+        std::vector<slot_claim> claims;
+    };
+    /// For each router the slots that it should hold in all, before any move.
+    using slot_wishes = std::map<entry_vm_id, std::int32_t>;
+    /// Targets of one account at each router.
+    using router_targets = std::map<entry_vm_id, std::vector<double>>;
+
+    void dropLost(const pool_view&, time_point now);
+    void updateLevels(const pool_view&);
+    account_table claimsOf(const pool_view&, double slots, double poolSlots) const;
+    router_targets splitOverRouters(const account_table&, const std::vector<double>& targets) const;
+    slot_wishes wishesOf(const router_targets&, std::int32_t slots) const;
+    void setQuotas(const account_table&, const router_targets&, const slot_wishes&);
+    void moveLeases(const pool_view&, const slot_wishes&);
+    void lowerLeases(router_record&, std::int32_t excess);
+    bool raiseLease(const pool_view&, router_record&);
+    slot_count freeAt(const endpoint_capacity&, wire_key) const;
+    void renewReported(const pool_view&);
+    slot_grant grantFor(const router_record&, const pool_view&, const account_table&) const;
+
+    failure_domain_id m_domain;
+    time_point m_openAt;
+    std::map<entry_vm_id, router_record> m_routers;
+    service_ledger m_services;
+    /// What is added to an account's normalised service: what it was ahead at the start, and idle time without credit.
+    std::map<wire_key, double> m_raises;
+    double m_meanCost = 0;
+    std::uint64_t m_sequence = 0;
+};
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/settings/router_settings.hpp
+++ b/src/kumquatbeam/settings/router_settings.hpp
@@ -26,7 +26,7 @@
     std::string platformAddress = "127.0.0.1";
     std::int64_t platformPort = 0;
     /// Name of the strategy that divides slots between routers.
-    std::string strategy = "local-only";
+    std::string strategy = "leased-quotas";
     std::int64_t requestLimit = 4000;
     std::int64_t bodyLimit = 1'048'576;
     /// Time that the balancer is given to notice that the router is not ready any more.
--- /dev/null
+++ b/tests/unit/slot_arbiter.tests.cpp
@@ -0,0 +1,216 @@
+#include "kumquatbeam/decisions/slot_arbiter.hpp"
+
+#include "strategy_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace kumquatbeam;
+
+namespace {
+
+constexpr std::int32_t slotsPerEndpoint = 4;
+constexpr std::int32_t allSlots = 2 * slotsPerEndpoint;
+
+/// An arbiter at r1 with peers r2 and r3, and accounts `large` and `small`.
+struct arbitration {
+    pool_view view = viewOf("r1", slotsPerEndpoint);
+    slot_arbiter arbiter;
+    std::map<std::string, slot_grant> granted;
+
+    explicit arbitration(time_point openAt = startOfTest, std::int64_t smallShare = 1000)
+        : arbiter({ "north" }, openAt, lease_holder {}, withMembers(view, smallShare))
+    {
+    }
+
+    static const pool_view& withMembers(pool_view& view, std::int64_t smallShare)
+    {
+        addRouter(view, "r1");
+        addRouter(view, "r2");
+        addRouter(view, "r3");
+        addAccount(view, "large", 3000, 0);
+        addAccount(view, "small", smallShare, 0);
+        return view;
+    }
+
+    void report(const std::string& from, const slot_report& message, std::uint64_t life = 1)
+    {
+        arbiter.receive({ { from }, { "north" }, true, { from == "r1" ? 0 : life } }, message);
+    }
+
+    void divide(time_point now)
+    {
+        for (auto& row : arbiter.divide(view, now))
+            granted[row.to.value] = std::move(row.grant);
+    }
+
+    /// The holder confirms its leases, and that all of them are in use.
+    void confirm(const std::string& router, slot_report message)
+    {
+        for (const auto& row : granted[router].endpoints)
+            message.endpoints.push_back({ row.endpoint, row.leased, row.leased });
+        report(router, message);
+    }
+
+    std::int32_t leased(const std::string& endpoint)
+    {
+        std::int32_t sum = 0;
+        for (const auto& [router, grant] : granted) {
+            for (const auto& row : grant.endpoints)
+                sum += row.endpoint == wireKeyOf(endpoint) ? row.leased.value : 0;
+        }
+        return sum;
+    }
+};
+
+} // namespace
+
+TEST_CASE("Slots go where the backlogged accounts are, by share, and all of them [slot_arbiter]")
+{
+    arbitration test;
+    test.report("r2", reportOf("large", 100));
+    test.report("r3", reportOf("small", 100));
+    test.divide(startOfTest);
+    CHECK(quotaIn(test.granted["r2"], "large") == 6);
+    CHECK(quotaIn(test.granted["r3"], "small") == 2);
+    CHECK(leasedSlots(test.granted["r2"]) == 6);
+    CHECK(leasedSlots(test.granted["r3"]) == 2);
+    CHECK(test.leased("e1") == slotsPerEndpoint);
+    CHECK(test.leased("e2") == slotsPerEndpoint);
+}
+
+TEST_CASE("Spare slots are spread over the routers before any work is there [slot_arbiter]")
+{
+    arbitration test;
+    test.divide(startOfTest);
+    for (const auto* router : { "r1", "r2", "r3" })
+        CHECK(leasedSlots(test.granted[router]) >= allSlots / 3);
+    CHECK(test.leased("e1") + test.leased("e2") == allSlots);
+}
+
+TEST_CASE("A slot is handed on only when its holder has confirmed that it let go [slot_arbiter]")
+{
+    arbitration test;
+    test.report("r2", reportOf("large", 100));
+    test.divide(startOfTest);
+    REQUIRE(leasedSlots(test.granted["r2"]) == allSlots);
+    test.confirm("r2", reportOf("large", 100));
+
+    test.report("r3", reportOf("small", 100));
+    test.divide(startOfTest + testBeat);
+    CHECK(leasedSlots(test.granted["r2"]) == 6);
+    CHECK(leasedSlots(test.granted["r3"]) == 0);
+
+    // The lease is lowered, but the calls still run.
+    slot_report running = reportOf("large", 100);
+    for (const auto& row : test.granted["r2"].endpoints)
+        running.endpoints.push_back({ row.endpoint, row.leased, { slotsPerEndpoint } });
+    test.report("r2", running);
+    test.divide(startOfTest + 2 * testBeat);
+    CHECK(leasedSlots(test.granted["r3"]) == 0);
+
+    test.confirm("r2", reportOf("large", 100));
+    test.divide(startOfTest + 3 * testBeat);
+    CHECK(leasedSlots(test.granted["r3"]) == 2);
+    CHECK(test.leased("e1") + test.leased("e2") == allSlots);
+}
+
+TEST_CASE("Leases on an endpoint never exceed its slots while demand moves about [slot_arbiter]")
+{
+    arbitration test;
+    constexpr int beats = 60;
+    for (int beat = 0; beat < beats; ++beat) {
+        const std::vector<std::string> routers { "r1", "r2", "r3" };
+        for (std::size_t place = 0; place < routers.size(); ++place) {
+            const auto waiting = static_cast<std::uint32_t>((beat / 3 + place) % 3 * 20);
+            // Some reports are lost.
+            if ((static_cast<std::size_t>(beat) + place) % 4 != 0)
+                test.confirm(routers[place], reportOf(place % 2 == 0 ? "large" : "small", waiting));
+        }
+        test.divide(startOfTest + beat * testBeat);
+        CHECK(test.leased("e1") <= slotsPerEndpoint);
+        CHECK(test.leased("e2") <= slotsPerEndpoint);
+    }
+}
+
+TEST_CASE("A new arbiter renews what holders report, and nothing else before a lease has passed [slot_arbiter]")
+{
+    arbitration test(startOfTest + testLease);
+    auto held = reportOf("large", 100);
+    addHeld(held, "e1", 2, 2);
+    addHeld(held, "e2", 0, 0);
+    test.report("r2", held);
+    test.report("r3", reportOf("small", 100));
+    test.divide(startOfTest);
+    CHECK(leasedSlots(test.granted["r2"]) == 2);
+    CHECK(leasedSlots(test.granted["r3"]) == 0);
+
+    test.divide(startOfTest + testLease);
+    CHECK(leasedSlots(test.granted["r2"]) == 6);
+    CHECK(leasedSlots(test.granted["r3"]) == 2);
+}
+
+TEST_CASE("Slots of a lost router come back when its lease has ended [slot_arbiter]")
+{
+    arbitration test;
+    test.report("r2", reportOf("large", 100));
+    test.divide(startOfTest);
+    test.confirm("r2", reportOf("large", 100));
+    test.report("r3", reportOf("small", 100));
+    test.view.routers[1].isReachable = false;
+    test.granted.erase("r2");
+
+    test.divide(startOfTest + testBeat);
+    CHECK(leasedSlots(test.granted["r3"]) == 0);
+    test.divide(startOfTest + testLease + testBeat);
+    CHECK(leasedSlots(test.granted["r3"]) == allSlots);
+}
+
+TEST_CASE("A restarted holder has nothing, and its slots are free at once [slot_arbiter]")
+{
+    arbitration test;
+    test.report("r2", reportOf("large", 100));
+    test.divide(startOfTest);
+    test.confirm("r2", reportOf("large", 100));
+    test.granted.erase("r2");
+
+    test.report("r2", reportOf("large", 0), 2);
+    test.report("r3", reportOf("small", 100));
+    test.divide(startOfTest + testBeat);
+    CHECK(leasedSlots(test.granted["r3"]) == allSlots);
+}
+
+TEST_CASE("The smallest share gets its turn however large the others are [slot_arbiter]")
+{
+    arbitration test(startOfTest, 1);
+    std::int64_t served = 0;
+    std::int64_t quota = 0;
+    int beats = 0;
+    for (constexpr int beatLimit = 40000; quota == 0 && beats < beatLimit; ++beats) {
+        test.report("r2", reportOf("large", 100, served));
+        test.report("r3", reportOf("small", 100, 0));
+        test.divide(startOfTest + beats * testBeat);
+        quota = quotaIn(test.granted["r3"], "small");
+        served += allSlots * std::chrono::microseconds(testBeat).count();
+    }
+    // The longest wait of the design page: k H W / (N w) + 2P + C, here k = 1, H = S + 2P = 1.2 s, W / w = 3001, N = 8.
+    constexpr double longestWait = 1.2 * 3001 / allSlots + 2 * 0.1 + 1;
+    CHECK(quota >= 1);
+    CHECK(beats * 0.1 <= longestWait);
+}
+
+TEST_CASE("An account that rested enters without credit for its idle past [slot_arbiter]")
+{
+    arbitration test(startOfTest, 3000);
+    test.report("r2", reportOf("large", 100, 0));
+    test.report("r3", reportOf("small", 0, 0));
+    test.divide(startOfTest);
+    test.report("r2", reportOf("large", 100, 500'000'000));
+    test.divide(startOfTest + testBeat);
+
+    test.report("r3", reportOf("small", 100, 0));
+    test.divide(startOfTest + 2 * testBeat);
+    CHECK(quotaIn(test.granted["r3"], "small") == allSlots / 2);
+    CHECK(quotaIn(test.granted["r2"], "large") == allSlots / 2);
+}
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -86,7 +86,7 @@
     """A running fleet. Use it as a context manager."""
 
     def __init__(self, routers=5, engines=10, engine_slots=8, services=3, service_slots=4, accounts=None,
-                 strategy="local-only", relay=False, settings=None, model_pool="", service_pool="", log_level="info",
+                 strategy="leased-quotas", relay=False, settings=None, model_pool="", service_pool="", log_level="info",
                  keep_logs=False):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="kumquatbeam-"))
         self.keep_logs = keep_logs
