--- a/src/kumquatbeam/controllers/status_report.hpp
+++ b/src/kumquatbeam/controllers/status_report.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kumquatbeam/controllers/metrics_report.hpp"
+#include "kumquatbeam/decisions/capacity_strategy.hpp"
 #include "kumquatbeam/types/ids.hpp"
 #include "kumquatbeam/types/units.hpp"
 
@@ -43,6 +44,13 @@
     std::uint64_t refused = 0;
 };
 
+/// One pool, as this router sees it.
+struct pool_status {
+    pool_id pool;
+    service_cost meanCost;
+    strategy_state division;
+};
+
 /// What an operator sees of a router.
 struct status_report {
     entry_vm_id self;
@@ -57,6 +65,7 @@
     std::uint64_t controlBytesSent = 0;
     std::uint64_t controlFramesSent = 0;
     std::uint64_t controlBytesReceived = 0;
+    std::vector<pool_status> pools;
     std::vector<account_status> accounts;
     std::vector<endpoint_state> endpoints;
     std::vector<peer_status> peers;
