--- a/apps/exit_code.hpp
+++ b/apps/exit_code.hpp
@@ -8,6 +8,7 @@
 inline constexpr int exitUsage = 2;
 inline constexpr int exitSettings = 3;
 inline constexpr int exitUnreachable = 4;
+inline constexpr int exitInterrupted = 5;
 /// @}
 
 } // namespace kumquatbeam
--- a/apps/router.cpp
+++ b/apps/router.cpp
@@ -23,7 +23,8 @@
   --help           Show this text.
   --version        Show the version.
 
-Exit codes: 0 finished after a shutdown, 2 wrong command line, 3 broken settings, 4 an address cannot be listened on.
+Exit codes: 0 finished after a shutdown, 2 wrong command line, 3 broken settings, 4 an address cannot be listened on,
+5 a second signal ended a shutdown early.
 )";
 
 int printFaults(const std::vector<kumquatbeam::failure>& faults)
@@ -56,6 +57,5 @@
         std::cerr << listening.message() << "\n";
         return exitUnreachable;
     }
-    process.run();
-    return exitOk;
+    return process.run() == operators_duty::ending::Finished ? exitOk : exitInterrupted;
 }
--- a/src/kumquatbeam/codec/status_json.cpp
+++ b/src/kumquatbeam/codec/status_json.cpp
@@ -11,6 +11,7 @@
         { "domain", report.domain.value },
         { "incarnation", report.life.value },
         { "document_revision", report.document.value },
+        { "refused_document_revision", report.refusedDocument.value },
         { "members_revision", report.members.value },
         { "ready", report.isReady },
         { "draining", report.isDraining },
@@ -33,7 +34,7 @@
     json["peers"] = nlohmann::ordered_json::array();
     for (const auto& row : report.peers)
         json["peers"].push_back({ { "entry_vm", row.peer.value }, { "connected", row.isConnected },
-            { "document_revision", row.document.value } });
+            { "reachable", row.isReachable }, { "document_revision", row.document.value } });
     return json.dump(2) + "\n";
 }
 
--- a/src/kumquatbeam/controllers/command.hpp
+++ b/src/kumquatbeam/controllers/command.hpp
@@ -43,11 +43,18 @@
     bool isReady = false;
 };
 
+/// A shutdown has begun: the router is not ready for good, and connections end with their next reply.
+struct begin_drain { };
+
 /// Stops accepting callers.
 struct stop_accepting { };
 
+/// Closes idle connections, and reports when everything is written and every connection is closed.
+struct finish_callers { };
+
 /// Everything that the callers duty is told.
-using caller_command = std::variant<reply_to_caller, answer_head, answer_piece, answer_end, set_ready, stop_accepting>;
+using caller_command = std::variant<reply_to_caller, answer_head, answer_piece, answer_end, set_ready, begin_drain,
+    stop_accepting, finish_callers>;
 
 /// Where an endpoint listens.
 struct endpoint_address {
@@ -94,6 +101,9 @@
     std::vector<entry_vm> peers;
 };
 
+/// Closes every connection to a peer; new ones are made at once.
+struct reset_peers { };
+
 /// Sends a message to one peer.
 struct send_to_peer {
     entry_vm_id to;
@@ -101,7 +111,7 @@
 };
 
 /// Everything that the peers duty is told.
-using peer_command = std::variant<set_peers, send_to_peer>;
+using peer_command = std::variant<set_peers, reset_peers, send_to_peer>;
 
 /// Answers an operator's query.
 struct status_reply {
--- a/src/kumquatbeam/controllers/configuration_controller.cpp
+++ b/src/kumquatbeam/controllers/configuration_controller.cpp
@@ -20,41 +20,90 @@
 
 void configuration_controller::handle(const decision_event& event, decision_context& context)
 {
-    std::visit(event_handlers { [&](const document_published& published) { publish(published, context); } }, event);
+    const event_handlers handlers {
+        [&](const document_published& published) { consider(published.current, published.text, context); },
+        [&](const membership_changed& changed) { m_catchUp.expect(changed.peers); },
+        [&](const peer_received& received) { receive(received, context); },
+        [&](const peer_lost& lost) { m_catchUp.lose(lost.peer); },
+    };
+    std::visit(handlers, event);
+    advance(context);
 }
 
 void configuration_controller::describe(status_report& report) const
 {
-    report.isReady = m_current != nullptr;
-    if (m_current)
-        report.document = m_current->current;
+    const auto document = current();
+    report.isReady = document != nullptr;
+    if (document)
+        report.document = document->current;
+    report.refusedDocument = m_catchUp.newestRefused();
 }
 
 const client_account* configuration_controller::accountOf(const std::string& credential) const
 {
     // The digest is what the table is keyed by, so the look-up's timing tells nothing about the credential itself.
     const auto found = m_accountsByDigest.find(credentialDigest(credential));
-    return found == m_accountsByDigest.end() ? nullptr : &m_current->accounts.at(found->second);
+    return found == m_accountsByDigest.end() ? nullptr : &m_newest.document->accounts.at(found->second);
 }
 
-void configuration_controller::publish(const document_published& published, decision_context& context)
+void configuration_controller::receive(const peer_received& received, decision_context& context)
 {
-    if (m_current && published.current <= m_current->current)
+    const event_handlers handlers {
+        [&](const peer_heartbeat& heartbeat) { m_catchUp.hear(received.from, heartbeat.document); },
+        [&](const document_request& request) { offer(received.from, request, context); },
+        [&](const document_offer& offered) {
+            m_catchUp.noteOffer(received.from);
+            consider(offered.current, offered.text, context);
+        },
+    };
+    std::visit(handlers, received.message);
+}
+
+void configuration_controller::consider(revision offered, const std::string& text, decision_context& context)
+{
+    if (offered <= newestRevision() || m_catchUp.hasRefused(offered))
         return;
-    auto verdict = parseDocument(published.current, published.text);
+    auto verdict = parseDocument(offered, text);
     for (const auto& fault : verdict.faults)
         context.log.failed(name(), fault);
-    if (!verdict.isAccepted())
+    if (!verdict.isAccepted()) {
+        m_catchUp.refuse(offered);
+        context.log.changed({ name(), "refused", std::to_string(offered.value) });
         return;
-    if (!m_current)
-        context.commands.send(caller_command { set_ready { true } });
-    m_currentText = published.text;
-    m_current = std::make_shared<const fleet_document>(std::move(verdict.document));
+    }
+    m_newest = { std::make_shared<const fleet_document>(std::move(verdict.document)), text };
+    if (m_isReady)
+        putInForce(context);
+}
+
+void configuration_controller::offer(const entry_vm_id& to, const document_request& request, decision_context& context)
+{
+    const auto document = current();
+    if (document && document->current > request.newerThan)
+        context.commands.send(
+            peer_command { send_to_peer { to, document_offer { document->current, m_newest.text } } });
+}
+
+void configuration_controller::advance(decision_context& context)
+{
+    if (m_newest.document && !m_newest.isInForce && m_catchUp.mayStartWith(newestRevision(), context.now))
+        putInForce(context);
+    if (const auto peer = m_catchUp.nextToAsk(newestRevision(), !m_isReady, context.now))
+        context.commands.send(peer_command { send_to_peer { *peer, document_request { newestRevision() } } });
+}
+
+void configuration_controller::putInForce(decision_context& context)
+{
+    m_newest.isInForce = true;
     m_accountsByDigest.clear();
-    for (const auto& [id, account] : m_current->accounts)
+    for (const auto& [id, account] : m_newest.document->accounts)
         m_accountsByDigest.emplace(account.credentialDigest, id);
-    context.commands.send(endpoint_command { watchedEndpoints(*m_current) });
-    context.log.changed({ name(), "accepted", std::to_string(published.current.value) });
+    m_catchUp.accept(newestRevision());
+    context.commands.send(endpoint_command { watchedEndpoints(*m_newest.document) });
+    if (!std::exchange(m_isReady, true))
+        context.commands.send(caller_command { set_ready { true } });
+    context.log.changed({ name(), "accepted", std::to_string(newestRevision().value) });
+    context.raised.emplace_back(document_accepted { newestRevision() });
 }
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/configuration_controller.hpp
+++ b/src/kumquatbeam/controllers/configuration_controller.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kumquatbeam/controllers/controller.hpp"
+#include "kumquatbeam/decisions/document_catch_up.hpp"
 #include "kumquatbeam/settings/fleet_document.hpp"
 
 #include <memory>
@@ -10,23 +11,41 @@
 namespace kumquatbeam {
 
 /// Owns the accepted document. A newer accepted revision replaces it; nothing ever takes it back to an older one.
+///
+/// A router that starts holds its first document back until it has heard from its peers, so that a stale platform
+/// cannot make it put an older revision in force than the one that it had before. See `document_catch_up`.
 class configuration_controller final : public controller {
 public:
     std::string_view name() const override { return "configuration"; }
     void handle(const decision_event&, decision_context&) override;
+    time_point nextDeadline() const override { return m_catchUp.nextDeadline(); }
+    void onDeadline(decision_context& context) override { advance(context); }
     void describe(status_report&) const override;
 
     /// The document in force, or null before the first.
-    std::shared_ptr<const fleet_document> current() const { return m_current; }
+    std::shared_ptr<const fleet_document> current() const { return m_newest.isInForce ? m_newest.document : nullptr; }
 
     /// The account that a credential proves, or null.
     const client_account* accountOf(const std::string& credential) const;
 
 private:
-    void publish(const document_published&, decision_context&);
-
-    std::shared_ptr<const fleet_document> m_current;
-    std::string m_currentText;
+    /// The newest document that passed the checks. It is held back while the router catches up with its peers.
+    struct checked_document {
+        std::shared_ptr<const fleet_document> document;
+        std::string text;
+        bool isInForce = false;
+    };
+
+    void receive(const peer_received&, decision_context&);
+    void consider(revision, const std::string& text, decision_context&);
+    void offer(const entry_vm_id& to, const document_request&, decision_context&);
+    void advance(decision_context&);
+    void putInForce(decision_context&);
+    revision newestRevision() const { return m_newest.document ? m_newest.document->current : revision {}; }
+
+    document_catch_up m_catchUp;
+    checked_document m_newest;
+    bool m_isReady = false;
     std::unordered_map<std::string, client_account_id> m_accountsByDigest;
 };
 
--- a/src/kumquatbeam/controllers/decision_core.cpp
+++ b/src/kumquatbeam/controllers/decision_core.cpp
@@ -16,7 +16,7 @@
     , m_life(life)
     , m_commands(commands)
     , m_log(log)
-    , m_membership(m_settings.self, m_configuration)
+    , m_membership(m_settings, m_configuration)
     , m_placement(m_settings, m_configuration, m_membership)
     , m_drain(m_settings)
 {
@@ -36,6 +36,7 @@
 void decision_core::handle(const decision_event& event, time_point now)
 {
     decision_context context { now, m_commands, m_log, m_raised };
+    notePause(context);
     dispatch(event, context);
     settleRaised(context);
 }
@@ -51,6 +52,7 @@
 void decision_core::onDeadline(time_point now)
 {
     decision_context context { now, m_commands, m_log, m_raised };
+    notePause(context);
     for (auto* part : m_controllers) {
         if (part->nextDeadline() <= now)
             part->onDeadline(context);
@@ -58,8 +60,20 @@
     settleRaised(context);
 }
 
+void decision_core::notePause(decision_context& context)
+{
+    if (!m_pauses.noteTurn(context.now))
+        return;
+    m_membership.dropBeliefs(context);
+    settleRaised(context);
+}
+
 void decision_core::dispatch(const decision_event& event, decision_context& context)
 {
+    // What a peer said before the connection was lost, or before a pause, is not believed.
+    const auto* received = std::get_if<peer_received>(&event);
+    if (received && !m_membership.connectedPeers().contains(received->from))
+        return;
     const event_handlers handlers {
         [&](const request_arrived& arrived) { filterRequest(arrived, context); },
         [&](const status_requested& query) { reportStatus(query, context); },
--- a/src/kumquatbeam/controllers/decision_core.hpp
+++ b/src/kumquatbeam/controllers/decision_core.hpp
@@ -9,6 +9,7 @@
 #include "kumquatbeam/controllers/membership_controller.hpp"
 #include "kumquatbeam/controllers/placement_controller.hpp"
 #include "kumquatbeam/controllers/reply_controller.hpp"
+#include "kumquatbeam/decisions/pause_detector.hpp"
 #include "kumquatbeam/filters/filter_chain.hpp"
 #include "kumquatbeam/settings/router_settings.hpp"
 #include "kumquatbeam/types/ids.hpp"
@@ -30,6 +31,7 @@
     void onDeadline(time_point now);
 
 private:
+    void notePause(decision_context&);
     void dispatch(const decision_event&, decision_context&);
     void filterRequest(const request_arrived&, decision_context&);
     void reportStatus(const status_requested&, decision_context&);
@@ -41,6 +43,7 @@
     decision_log& m_log;
     std::deque<decision_event> m_raised;
 
+    pause_detector m_pauses;
     configuration_controller m_configuration;
     membership_controller m_membership;
     placement_controller m_placement;
--- a/src/kumquatbeam/controllers/decision_event.hpp
+++ b/src/kumquatbeam/controllers/decision_event.hpp
@@ -8,6 +8,7 @@
 #include "kumquatbeam/types/units.hpp"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -78,6 +79,9 @@
 struct load_observed {
     endpoint_id endpoint;
     std::optional<endpoint_load> load;
+    /// Where the endpoint was asked.
+    std::string address {};
+    std::int64_t port = 0;
 };
 
 /// The platform or a peer has a text of the operators' document.
@@ -92,6 +96,20 @@
     std::string text;
 };
 
+/// A document came into force; raised by the controller that owns it.
+struct document_accepted {
+    revision current;
+};
+
+/// What is believed about the entry VMs changed; raised by the controller that owns it.
+struct membership_changed {
+    /// Every other entry VM that is not leaving.
+    std::set<entry_vm_id> peers;
+};
+
+/// Every reply to a caller has been written and every caller's connection is closed.
+struct callers_finished { };
+
 /// A connection to a peer stands, and the peer has said who it is.
 struct peer_connected {
     peer_greeting greeting;
@@ -118,7 +136,7 @@
 
 /// Everything that reaches the decisions duty.
 using decision_event = std::variant<request_arrived, request_admitted, request_ended, request_abandoned, attempt_ended,
-    load_observed, document_published, members_published, peer_connected, peer_lost, peer_received, status_requested,
-    shutdown_requested>;
+    load_observed, document_published, members_published, document_accepted, membership_changed, peer_connected,
+    peer_lost, peer_received, status_requested, shutdown_requested, callers_finished>;
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/drain_controller.cpp
+++ b/src/kumquatbeam/controllers/drain_controller.cpp
@@ -1,6 +1,6 @@
 #include "kumquatbeam/controllers/drain_controller.hpp"
 
-#include <algorithm>
+#include <utility>
 
 namespace kumquatbeam {
 
@@ -17,7 +17,7 @@
                 return;
             m_refuseAt = context.now + m_settings.drainNotice;
             m_endBy = m_refuseAt + m_settings.drainLimit;
-            context.commands.send(caller_command { set_ready { false } });
+            context.commands.send(caller_command { begin_drain {} });
             context.log.changed({ name(), "started", "" });
         },
         [&](const request_admitted&) { ++m_inProgress; },
@@ -25,6 +25,7 @@
             --m_inProgress;
             finishWhenIdle(context);
         },
+        [&](const callers_finished&) { finish(context); },
     };
     std::visit(handlers, event);
 }
@@ -43,20 +44,28 @@
         context.commands.send(caller_command { stop_accepting {} });
     }
     finishWhenIdle(context);
+    if (context.now >= m_endBy)
+        finish(context);
 }
 
 void drain_controller::describe(status_report& report) const
 {
     report.isDraining = isDraining();
+    report.isReady = report.isReady && !isDraining();
 }
 
 void drain_controller::finishWhenIdle(decision_context& context)
 {
-    if (m_hasFinished || !m_hasStoppedAccepting)
+    if (m_isFinishingCallers || !m_hasStoppedAccepting || m_inProgress > 0)
         return;
-    if (m_inProgress > 0 && context.now < m_endBy)
+    m_isFinishingCallers = true;
+    context.commands.send(caller_command { finish_callers {} });
+}
+
+void drain_controller::finish(decision_context& context)
+{
+    if (std::exchange(m_hasFinished, true))
         return;
-    m_hasFinished = true;
     context.log.changed({ name(), "finished", std::to_string(m_inProgress) });
     context.commands.send(operator_command { finish_process {} });
 }
--- a/src/kumquatbeam/controllers/drain_controller.hpp
+++ b/src/kumquatbeam/controllers/drain_controller.hpp
@@ -5,7 +5,8 @@
 
 namespace kumquatbeam {
 
-/// Owns the way to a graceful end: not ready, then refusing, then gone when nothing is in progress.
+/// Owns the way to a graceful end: not ready at once, then refusing new requests, and gone when nothing is in progress
+/// and every reply has been written.
 class drain_controller final : public controller {
 public:
     explicit drain_controller(const router_settings&);
@@ -21,12 +22,14 @@
 
 private:
     void finishWhenIdle(decision_context&);
+    void finish(decision_context&);
 
     const router_settings& m_settings;
     std::int64_t m_inProgress = 0;
     time_point m_refuseAt = never;
     time_point m_endBy = never;
     bool m_hasStoppedAccepting = false;
+    bool m_isFinishingCallers = false;
     bool m_hasFinished = false;
 };
 
--- a/src/kumquatbeam/controllers/membership_controller.cpp
+++ b/src/kumquatbeam/controllers/membership_controller.cpp
@@ -1,18 +1,13 @@
 #include "kumquatbeam/controllers/membership_controller.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace kumquatbeam {
 
-namespace {
-
-    /// How often a router says that it lives. A peer is taken for lost after three times as long.
-    constexpr std::chrono::milliseconds heartbeatPeriod { 1000 };
-
-} // namespace
-
-membership_controller::membership_controller(entry_vm_id self, const configuration_controller& configuration)
-    : m_self(std::move(self))
+membership_controller::membership_controller(
+    const router_settings& settings, const configuration_controller& configuration)
+    : m_settings(settings)
     , m_configuration(configuration)
 {
 }
@@ -21,47 +16,85 @@
 {
     const event_handlers handlers {
         [&](const members_published& published) { publish(published, context); },
+        [&](const document_accepted&) {
+            noteLeaving(m_leaving.adopt(*m_configuration.current()), "document", context);
+            m_heartbeatAt = context.now;
+        },
         [&](const load_observed& observed) {
             if (observed.load && observed.load->isLeaving)
-                m_leavingByOwnReport.insert(observed.endpoint);
+                noteLeaving(
+                    m_leaving.noteReport(observed.endpoint, observed.address, observed.port), "load report", context);
         },
-        [&](const peer_connected& connected) {
-            m_connected.insert_or_assign(connected.greeting.from, connected.greeting);
-            context.log.changed({ name(), "peer connected", connected.greeting.from.value });
-        },
-        [&](const peer_lost& lost) {
-            m_connected.erase(lost.peer);
-            context.log.changed({ name(), "peer lost", lost.peer.value });
+        [&](const peer_connected& connected) { connect(connected, context); },
+        [&](const peer_lost& lost) { lose(lost, context); },
+        [&](const peer_received& received) { receive(received, context); },
+        [&](const shutdown_requested&) {
+            m_isDraining = true;
+            m_heartbeatAt = context.now;
         },
     };
     std::visit(handlers, event);
 }
 
+time_point membership_controller::nextDeadline() const
+{
+    auto earliest = m_heartbeatAt;
+    for (const auto& [peer, belief] : m_beliefs) {
+        if (belief.isValid)
+            earliest = std::min(earliest, belief.validUntil);
+    }
+    return earliest;
+}
+
 void membership_controller::onDeadline(decision_context& context)
 {
-    m_heartbeatAt = context.now + heartbeatPeriod;
-    const auto document = m_configuration.current();
-    const peer_heartbeat heartbeat { .document = document ? document->current : revision {},
-        .members = m_members.current };
-    for (const auto& [peer, greeting] : m_connected)
-        context.commands.send(peer_command { send_to_peer { peer, heartbeat } });
+    if (!std::exchange(m_hasStarted, true))
+        start(context);
+    expireBeliefs(context);
+    if (context.now >= m_heartbeatAt)
+        sendHeartbeats(context);
 }
 
 void membership_controller::describe(status_report& report) const
 {
     report.members = m_members.current;
     for (const auto& [id, vm] : m_members.entryVms) {
-        if (id != m_self)
-            report.peers.push_back({ id, m_connected.contains(id), {} });
+        if (id == m_settings.self)
+            continue;
+        const auto belief = m_beliefs.find(id);
+        report.peers.push_back({ id, m_connected.contains(id), isReachable(id),
+            belief == m_beliefs.end() ? revision {} : belief->second.document });
     }
 }
 
-bool membership_controller::isLeaving(const endpoint_id& endpoint) const
+bool membership_controller::isReachable(const entry_vm_id& peer) const
+{
+    const auto listed = m_members.entryVms.find(peer);
+    if (listed != m_members.entryVms.end() && listed->second.isLeaving)
+        return false;
+    const auto belief = m_beliefs.find(peer);
+    return belief != m_beliefs.end() && belief->second.isValid && !belief->second.isDraining;
+}
+
+void membership_controller::dropBeliefs(decision_context& context)
 {
-    if (m_leavingByOwnReport.contains(endpoint))
-        return true;
-    const auto machine = m_members.endpointMachines.find(endpoint);
-    return machine != m_members.endpointMachines.end() && machine->second.isLeaving;
+    context.log.changed({ name(), "paused", std::to_string(m_connected.size()) });
+    m_connected.clear();
+    m_beliefs.clear();
+    context.commands.send(peer_command { reset_peers {} });
+    announceChange(context);
+}
+
+void membership_controller::start(decision_context& context)
+{
+    if (m_members.current != revision {} || m_settings.initialPeers.empty())
+        return;
+    for (const auto& peer : m_settings.initialPeers) {
+        if (peer.id != m_settings.self)
+            m_members.entryVms.emplace(peer.id, peer);
+    }
+    context.commands.send(peer_command { set_peers { m_settings.initialPeers } });
+    announceChange(context);
 }
 
 void membership_controller::publish(const members_published& published, decision_context& context)
@@ -71,14 +104,109 @@
     auto verdict = parseMembers(published.current, published.text);
     for (const auto& fault : verdict.faults)
         context.log.failed(name(), fault);
+    if (!verdict.isReadable) {
+        // The last list stays in use; only its revision moves on.
+        m_members.current = published.current;
+        return;
+    }
     m_members = std::move(verdict.members);
     set_peers peers;
     for (const auto& [id, vm] : m_members.entryVms) {
-        if (id != m_self)
+        if (id != m_settings.self)
             peers.peers.push_back(vm);
     }
     context.commands.send(peer_command { std::move(peers) });
     context.log.changed({ name(), "members", std::to_string(published.current.value) });
+    noteLeaving(m_leaving.noteList(m_members), "member list", context);
+    announceChange(context);
+}
+
+void membership_controller::connect(const peer_connected& connected, decision_context& context)
+{
+    const auto& peer = connected.greeting.from;
+    m_connected.insert_or_assign(peer, connected.greeting);
+    m_beliefs[peer] = { .document = {}, .validUntil = context.now + beliefLimit, .isValid = true };
+    context.commands.send(peer_command { send_to_peer { peer, heartbeat() } });
+    context.log.changed({ name(), "peer connected", peer.value });
+    announceChange(context);
+}
+
+void membership_controller::lose(const peer_lost& lost, decision_context& context)
+{
+    if (m_connected.erase(lost.peer) == 0)
+        return;
+    m_beliefs.erase(lost.peer);
+    context.log.changed({ name(), "peer lost", lost.peer.value });
+    announceChange(context);
+}
+
+void membership_controller::receive(const peer_received& received, decision_context& context)
+{
+    auto& belief = m_beliefs[received.from];
+    const bool wasReachable = isReachable(received.from);
+    belief.validUntil = context.now + beliefLimit;
+    belief.isValid = true;
+    if (const auto* heartbeat = std::get_if<peer_heartbeat>(&received.message)) {
+        belief.document = heartbeat->document;
+        belief.isDraining = heartbeat->isDraining;
+        noteLeaving(m_leaving.noteKeys(heartbeat->leavingEndpoints), "peer", context);
+    }
+    if (wasReachable != isReachable(received.from))
+        announceChange(context);
+}
+
+void membership_controller::expireBeliefs(decision_context& context)
+{
+    bool hasChanged = false;
+    for (auto& [peer, belief] : m_beliefs) {
+        if (!belief.isValid || belief.validUntil > context.now)
+            continue;
+        belief.isValid = false;
+        hasChanged = true;
+        context.log.changed({ name(), "peer silent", peer.value });
+    }
+    if (hasChanged)
+        announceChange(context);
+}
+
+void membership_controller::noteLeaving(bool hasChanged, std::string_view source, decision_context& context)
+{
+    if (!hasChanged)
+        return;
+    context.log.changed({ name(), "endpoints leaving", std::string(source) });
+    m_heartbeatAt = context.now;
+    announceChange(context);
+}
+
+void membership_controller::sendHeartbeats(decision_context& context)
+{
+    m_heartbeatAt = context.now + heartbeatPeriod;
+    for (const auto& [peer, greeting] : m_connected)
+        context.commands.send(peer_command { send_to_peer { peer, heartbeat() } });
+}
+
+peer_heartbeat membership_controller::heartbeat() const
+{
+    const auto document = m_configuration.current();
+    return { .document = document ? document->current : revision {},
+        .members = m_members.current,
+        .isDraining = m_isDraining,
+        .leavingEndpoints = m_leaving.keys() };
+}
+
+std::set<entry_vm_id> membership_controller::expectedPeers() const
+{
+    std::set<entry_vm_id> peers;
+    for (const auto& [id, vm] : m_members.entryVms) {
+        if (id != m_settings.self && !vm.isLeaving)
+            peers.insert(id);
+    }
+    return peers;
+}
+
+void membership_controller::announceChange(decision_context& context)
+{
+    context.raised.emplace_back(membership_changed { expectedPeers() });
 }
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/placement_controller.cpp
+++ b/src/kumquatbeam/controllers/placement_controller.cpp
@@ -37,6 +37,7 @@
 
 void placement_controller::handle(const decision_event& event, decision_context& context)
 {
+    followDocument(context);
     const event_handlers handlers {
         [&](const request_admitted& admitted) {
             if (admitted.context.route == request_route::Queue)
@@ -45,14 +46,7 @@
         [&](const request_abandoned& abandoned) { abandon(abandoned.id, context); },
         [&](const attempt_ended& ended) { finishAttempt(ended, context); },
         [&](const peer_received& received) { receive(received, context); },
-        [&](const document_published&) {
-            refreshViews();
-            dropOrphans(context);
-        },
-        [&](const members_published&) { refreshViews(); },
-        [&](const load_observed&) { refreshViews(); },
-        [&](const peer_connected&) { refreshViews(); },
-        [&](const peer_lost&) { refreshViews(); },
+        [&](const membership_changed&) { refreshViews(); },
     };
     std::visit(handlers, event);
     for (auto& [id, pool] : m_pools)
@@ -72,6 +66,7 @@
 
 void placement_controller::onDeadline(decision_context& context)
 {
+    followDocument(context);
     for (auto& [id, pool] : m_pools) {
         expire(pool, context);
         sendBeats(pool, context);
@@ -196,6 +191,16 @@
     }
 }
 
+void placement_controller::followDocument(decision_context& context)
+{
+    const auto document = m_configuration.current();
+    if (!document || document->current == m_viewed)
+        return;
+    m_viewed = document->current;
+    refreshViews();
+    dropOrphans(context);
+}
+
 void placement_controller::refreshViews()
 {
     const auto document = m_configuration.current();
@@ -238,7 +243,7 @@
         view.endpoints.push_back(std::move(row));
     }
     for (const auto& [id, vm] : m_membership.members().entryVms)
-        view.routers.push_back({ id, vm.domain, id == m_settings.self || m_membership.connectedPeers().contains(id) });
+        view.routers.push_back({ id, vm.domain, id == m_settings.self || m_membership.isReachable(id) });
 }
 
 void placement_controller::dropOrphans(decision_context& context)
--- a/src/kumquatbeam/controllers/placement_controller.hpp
+++ b/src/kumquatbeam/controllers/placement_controller.hpp
@@ -51,6 +51,7 @@
     void settle(running_call, const attempt_ended&, decision_context&);
     bool mayTryAgain(const running_call&, const attempt_ended&) const;
     void receive(const peer_received&, decision_context&);
+    void followDocument(decision_context&);
     void refreshViews();
     void refreshPool(pool_state&, const endpoint_pool&);
     void dropOrphans(decision_context&);
@@ -63,6 +64,8 @@
     const router_settings& m_settings;
     const configuration_controller& m_configuration;
     const membership_controller& m_membership;
+    /// The document that the pools were last made from.
+    revision m_viewed;
     std::map<pool_id, pool_state> m_pools;
     std::unordered_map<request_id, running_call> m_running;
     std::unordered_map<request_id, int> m_attemptsBefore;
--- a/src/kumquatbeam/controllers/status_report.hpp
+++ b/src/kumquatbeam/controllers/status_report.hpp
@@ -32,6 +32,7 @@
 struct peer_status {
     entry_vm_id peer;
     bool isConnected = false;
+    bool isReachable = false;
     revision document;
 };
 
@@ -41,6 +42,8 @@
     failure_domain_id domain;
     incarnation life;
     revision document;
+    /// The newest revision that was read and refused since the document in force; zero for none.
+    revision refusedDocument;
     revision members;
     bool isReady = false;
     bool isDraining = false;
--- /dev/null
+++ b/src/kumquatbeam/decisions/leaving_endpoints.cpp
@@ -0,0 +1,78 @@
+#include "kumquatbeam/decisions/leaving_endpoints.hpp"
+
+#include <utility>
+
+namespace kumquatbeam {
+
+bool leaving_endpoints::adopt(const fleet_document& document)
+{
+    auto before = std::exchange(m_keys, {});
+    m_byKey.clear();
+    bool hasChanged = false;
+    for (const auto& [id, endpoint] : document.endpoints) {
+        const auto key = descriptionKeyOf(endpoint);
+        m_keys.emplace(id, key);
+        m_byKey.emplace(key, id);
+        const auto old = before.find(id);
+        if (old == before.end() || old->second == key)
+            continue;
+        hasChanged |= m_leaving.erase(id) > 0;
+        if (m_listed.contains(id))
+            m_listedBefore.insert(id);
+    }
+    std::erase_if(m_leaving, [&](const endpoint_id& id) { return !m_keys.contains(id); });
+    return applyList() || hasChanged;
+}
+
+bool leaving_endpoints::noteList(const member_list& members)
+{
+    m_listed.clear();
+    for (const auto& [id, machine] : members.endpointMachines) {
+        if (machine.isLeaving)
+            m_listed.insert(id);
+    }
+    std::erase_if(m_listedBefore, [&](const endpoint_id& id) { return !m_listed.contains(id); });
+    return applyList();
+}
+
+bool leaving_endpoints::noteReport(const endpoint_id& endpoint, const std::string& address, std::int64_t port)
+{
+    // A report from an address that the endpoint has left speaks of its former life.
+    const auto known = m_keys.find(endpoint);
+    endpoint_description reporter;
+    reporter.id = endpoint;
+    reporter.address = address;
+    reporter.port = port;
+    return known != m_keys.end() && known->second == descriptionKeyOf(reporter) && note(endpoint);
+}
+
+bool leaving_endpoints::noteKeys(const std::vector<wire_key>& keys)
+{
+    bool hasChanged = false;
+    for (const auto& key : keys) {
+        const auto known = m_byKey.find(key);
+        if (known != m_byKey.end())
+            hasChanged |= note(known->second);
+    }
+    return hasChanged;
+}
+
+std::vector<wire_key> leaving_endpoints::keys() const
+{
+    std::vector<wire_key> keys;
+    for (const auto& endpoint : m_leaving)
+        keys.push_back(m_keys.at(endpoint));
+    return keys;
+}
+
+bool leaving_endpoints::applyList()
+{
+    bool hasChanged = false;
+    for (const auto& endpoint : m_listed) {
+        if (m_keys.contains(endpoint) && !m_listedBefore.contains(endpoint))
+            hasChanged |= note(endpoint);
+    }
+    return hasChanged;
+}
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/duties/callers_duty.cpp
+++ b/src/kumquatbeam/duties/callers_duty.cpp
@@ -58,19 +58,65 @@
     m_links.endpoints->post(piece_consumed { id });
 }
 
+void callers_duty::end(caller_session& session)
+{
+    m_sessions.erase(&session);
+    reportWhenFinished();
+}
+
 void callers_duty::accept()
 {
     m_acceptor.async_accept([this](boost::system::error_code error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted)
+        if (error == asio::error::operation_aborted || !m_acceptor.is_open())
             return;
-        if (!error) {
-            socket.set_option(asio::ip::tcp::no_delay(true), error);
-            std::make_shared<caller_session>(std::move(socket), *this)->start();
-        }
+        if (!error)
+            begin(std::move(socket));
         accept();
     });
 }
 
+void callers_duty::begin(asio::ip::tcp::socket socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    const auto session = std::make_shared<caller_session>(std::move(socket), *this);
+    m_sessions.emplace(session.get(), session);
+    session->start();
+}
+
+void callers_duty::stopAccepting()
+{
+    // Closing the listening socket would reset the connections that the kernel has queued: these callers get a refusal
+    // instead.
+    boost::system::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        auto socket = m_acceptor.accept(error);
+        if (!error)
+            begin(std::move(socket));
+    }
+    m_acceptor.close(error);
+}
+
+void callers_duty::finish()
+{
+    m_isFinishing = true;
+    const auto sessions = m_sessions;
+    for (const auto& [key, weak] : sessions) {
+        if (const auto session = weak.lock())
+            session->closeIfIdle();
+    }
+    reportWhenFinished();
+}
+
+void callers_duty::reportWhenFinished()
+{
+    if (!m_isFinishing || m_hasReported || !m_sessions.empty())
+        return;
+    m_hasReported = true;
+    m_links.decisions->post(callers_finished {});
+}
+
 void callers_duty::handle(caller_command command)
 {
     const auto deliver = [this](auto&& message) {
@@ -86,7 +132,9 @@
         [&](answer_piece&& piece) { deliver(std::move(piece)); },
         [&](answer_end&& end) { deliver(end); },
         [&](set_ready&& ready) { m_isReady = ready.isReady; },
-        [&](stop_accepting&&) { m_acceptor.close(); },
+        [&](begin_drain&&) { m_isDraining = true; },
+        [&](stop_accepting&&) { stopAccepting(); },
+        [&](finish_callers&&) { finish(); },
     };
     std::visit(handlers, std::move(command));
 }
--- a/src/kumquatbeam/duties/callers_duty.hpp
+++ b/src/kumquatbeam/duties/callers_duty.hpp
@@ -32,10 +32,16 @@
     bool submit(request_id, call_request) override;
     void abandon(request_id) override;
     void acknowledgePiece(request_id) override;
-    bool isReady() const override { return m_isReady; }
+    void end(caller_session&) override;
+    bool isReady() const override { return m_isReady && !m_isDraining; }
+    bool isDraining() const override { return m_isDraining; }
     std::uint64_t bodyLimit() const override { return static_cast<std::uint64_t>(m_settings.bodyLimit); }
 
     void accept();
+    void begin(boost::asio::ip::tcp::socket);
+    void stopAccepting();
+    void finish();
+    void reportWhenFinished();
     void handle(caller_command);
 
     const router_settings& m_settings;
@@ -43,8 +49,13 @@
     duty<caller_command> m_duty;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::unordered_map<request_id, std::shared_ptr<caller_session>> m_inProgress;
+    /// Every open connection, by address.
+    std::unordered_map<caller_session*, std::weak_ptr<caller_session>> m_sessions;
     std::uint64_t m_lastRequest = 0;
     bool m_isReady = false;
+    bool m_isDraining = false;
+    bool m_isFinishing = false;
+    bool m_hasReported = false;
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/duties/decisions_duty.cpp
+++ b/src/kumquatbeam/duties/decisions_duty.cpp
@@ -2,6 +2,8 @@
 
 #include "kumquatbeam/duties/ring_sizes.hpp"
 
+#include <boost/asio/post.hpp>
+
 #include <utility>
 
 namespace kumquatbeam {
@@ -16,6 +18,7 @@
 
 void decisions_duty::start()
 {
+    boost::asio::post(m_duty.context(), [this] { armTimer(); });
     m_duty.start([this](const decision_event& event) { handle(event); });
 }
 
@@ -31,8 +34,12 @@
 
 void decisions_duty::send(peer_command command)
 {
-    // A peer that does not keep up misses messages: each is either said again or ends in a deadline.
-    static_cast<void>(m_links.peers->tryPost(std::move(command)));
+    // A peer that does not keep up misses messages: each is either said again or ends in a deadline. Whom to be
+    // connected with is said once, so it has a reserved place.
+    if (std::holds_alternative<send_to_peer>(command))
+        static_cast<void>(m_links.peers->tryPost(std::move(command)));
+    else
+        m_links.peers->post(std::move(command));
 }
 
 void decisions_duty::send(operator_command command)
--- a/src/kumquatbeam/duties/endpoints_duty.cpp
+++ b/src/kumquatbeam/duties/endpoints_duty.cpp
@@ -72,8 +72,9 @@
 {
     std::map<endpoint_id, std::shared_ptr<load_probe>> probes;
     for (const auto& endpoint : watched.endpoints) {
-        if (auto known = m_probes.extract(endpoint.endpoint)) {
-            probes.insert(std::move(known));
+        const auto known = m_probes.find(endpoint.endpoint);
+        if (known != m_probes.end() && known->second->asksAt(endpoint)) {
+            probes.insert(m_probes.extract(known));
             continue;
         }
         const auto probe = std::make_shared<load_probe>(
--- a/src/kumquatbeam/duties/operators_duty.cpp
+++ b/src/kumquatbeam/duties/operators_duty.cpp
@@ -13,10 +13,11 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-operators_duty::operators_duty(const router_settings& settings, duty_links& links, std::function<void()> whenFinished)
+operators_duty::operators_duty(
+    const router_settings& settings, duty_links& links, std::function<void(ending)> whenEnding)
     : m_settings(settings)
     , m_links(links)
-    , m_whenFinished(std::move(whenFinished))
+    , m_whenEnding(std::move(whenEnding))
     , m_duty("operators", operatorsRing())
     , m_acceptor(m_duty.context())
     , m_signals(m_duty.context(), SIGTERM, SIGINT)
@@ -71,11 +72,20 @@
     m_signals.async_wait([this](const boost::system::error_code& error, int) {
         if (error)
             return;
-        m_links.decisions->post(shutdown_requested {});
+        if (std::exchange(m_hasSignal, true))
+            endProcess(ending::Interrupted);
+        else
+            m_links.decisions->post(shutdown_requested {});
         awaitSignal();
     });
 }
 
+void operators_duty::endProcess(ending how)
+{
+    if (!std::exchange(m_hasEnded, true))
+        m_whenEnding(how);
+}
+
 void operators_duty::handle(operator_command command)
 {
     const event_handlers handlers {
@@ -87,7 +97,7 @@
             if (!query.empty())
                 query.mapped()->respond(http::status::ok, "application/json", encodeStatus(reply.report));
         },
-        [&](finish_process&&) { m_whenFinished(); },
+        [&](finish_process&&) { endProcess(ending::Finished); },
     };
     std::visit(handlers, std::move(command));
 }
--- a/src/kumquatbeam/duties/operators_duty.hpp
+++ b/src/kumquatbeam/duties/operators_duty.hpp
@@ -18,7 +18,15 @@
 /// The duty of answering operators, on an address of its own, and of taking signals.
 class operators_duty final : public operator_host {
 public:
-    operators_duty(const router_settings&, duty_links&, std::function<void()> whenFinished);
+    /// How the process ends.
+    enum class ending {
+        /// A shutdown has finished.
+        Finished,
+        /// A second signal came before the shutdown had finished.
+        Interrupted,
+    };
+
+    operators_duty(const router_settings&, duty_links&, std::function<void(ending)> whenEnding);
 
     absl::Status listen();
     void start();
@@ -31,16 +39,19 @@
 
     void accept();
     void awaitSignal();
+    void endProcess(ending);
     void handle(operator_command);
 
     const router_settings& m_settings;
     duty_links& m_links;
-    std::function<void()> m_whenFinished;
+    std::function<void(ending)> m_whenEnding;
     duty<operator_command> m_duty;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::signal_set m_signals;
     std::map<request_id, std::shared_ptr<operator_session>> m_queries;
     std::uint64_t m_lastQuery = 0;
+    bool m_hasSignal = false;
+    bool m_hasEnded = false;
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/duties/peers_duty.cpp
+++ b/src/kumquatbeam/duties/peers_duty.cpp
@@ -18,6 +18,9 @@
 
     constexpr std::chrono::milliseconds reconnectPeriod { 500 };
 
+    /// Time for a new connection to be greeted. Bytes may be held back without a sign on the way.
+    constexpr std::chrono::milliseconds connectLimit { 3000 };
+
 } // namespace
 
 peers_duty::peers_duty(const router_settings& settings, incarnation life, duty_links& links)
@@ -50,6 +53,7 @@
 {
     if (!m_members.contains(greeting.from) || greeting.from == m_settings.self)
         return false;
+    m_connecting.erase(greeting.from);
     auto& current = m_sessions[greeting.from];
     const auto replaced = std::exchange(current, session);
     if (replaced)
@@ -66,6 +70,7 @@
 
 void peers_duty::lose(peer_session& session, const absl::Status&)
 {
+    std::erase_if(m_connecting, [&](const auto& entry) { return entry.second.session == &session; });
     if (!session.peer())
         return;
     const auto& name = session.peer()->from;
@@ -103,6 +108,7 @@
 {
     const event_handlers handlers {
         [&](set_peers&& peers) { replacePeers(std::move(peers)); },
+        [&](reset_peers&&) { resetPeers(); },
         [&](send_to_peer&& message) {
             const auto session = m_sessions.find(message.to);
             if (session != m_sessions.end())
@@ -120,8 +126,17 @@
     connectMissing();
 }
 
+void peers_duty::resetPeers()
+{
+    const auto sessions = m_sessions;
+    for (const auto& [id, session] : sessions)
+        session->close(toStatus({ failure_kind::OwnerUnreachable, id.value, "pause" }));
+    connectMissing();
+}
+
 void peers_duty::connectMissing()
 {
+    dropLateConnections();
     for (const auto& [id, member] : m_members) {
         if (m_settings.self < id && !m_sessions.contains(id) && !m_connecting.contains(id))
             connect(member);
@@ -139,11 +154,31 @@
     const auto remote = openTowards(*socket, m_settings.sourceAddress, member.address, member.peerPort);
     if (!remote)
         return;
-    m_connecting.insert(member.id);
+    m_connecting.insert_or_assign(member.id, pending_connection { socket, nullptr, clock::now() + connectLimit });
     socket->async_connect(*remote, [this, socket, id = member.id](const boost::system::error_code& failed) {
-        m_connecting.erase(id);
-        if (!failed)
-            std::make_shared<peer_session>(std::move(*socket), *this)->start();
+        const auto pending = m_connecting.find(id);
+        const bool isCurrent = pending != m_connecting.end() && pending->second.socket == socket;
+        if (failed) {
+            if (isCurrent)
+                m_connecting.erase(pending);
+            return;
+        }
+        const auto session = std::make_shared<peer_session>(std::move(*socket), *this);
+        if (isCurrent)
+            pending->second.session = session.get();
+        session->start();
+    });
+}
+
+void peers_duty::dropLateConnections()
+{
+    const auto now = clock::now();
+    std::erase_if(m_connecting, [&](const auto& entry) {
+        if (entry.second.greetedBy > now)
+            return false;
+        boost::system::error_code ignored;
+        entry.second.socket->close(ignored);
+        return true;
     });
 }
 
--- a/src/kumquatbeam/duties/peers_duty.hpp
+++ b/src/kumquatbeam/duties/peers_duty.hpp
@@ -11,7 +11,6 @@
 
 #include <map>
 #include <memory>
-#include <set>
 
 namespace kumquatbeam {
 
@@ -27,6 +26,14 @@
     duty<peer_command>& inbox() { return m_duty; }
 
 private:
+    /// A connection that this side opens, until the peer has greeted.
+    struct pending_connection {
+        std::shared_ptr<boost::asio::ip::tcp::socket> socket;
+        /// Set once the connection stands, to tell whose end it is.
+        const peer_session* session = nullptr;
+        time_point greetedBy = never;
+    };
+
     peer_greeting greeting() const override;
     bool admit(const std::shared_ptr<peer_session>&, const peer_greeting&) override;
     void receive(const entry_vm_id& from, peer_message) override;
@@ -37,7 +44,9 @@
     void accept();
     void handle(peer_command);
     void replacePeers(set_peers);
+    void resetPeers();
     void connectMissing();
+    void dropLateConnections();
     void connect(const entry_vm&);
     bool isMemberAddress(const boost::asio::ip::address&) const;
 
@@ -49,7 +58,7 @@
     boost::asio::steady_timer m_reconnect;
     std::map<entry_vm_id, entry_vm> m_members;
     std::map<entry_vm_id, std::shared_ptr<peer_session>> m_sessions;
-    std::set<entry_vm_id> m_connecting;
+    std::map<entry_vm_id, pending_connection> m_connecting;
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/duties/router_process.cpp
+++ b/src/kumquatbeam/duties/router_process.cpp
@@ -9,7 +9,7 @@
     , m_callers(settings, m_links)
     , m_endpoints(settings, life, m_links)
     , m_peers(settings, life, m_links)
-    , m_operators(settings, m_links, [this] { m_finished.set_value(); })
+    , m_operators(settings, m_links, [this](operators_duty::ending how) { m_ending.set_value(how); })
     , m_platform(settings, m_links)
 {
     m_links = { &m_decisions.inbox(), &m_callers.inbox(), &m_endpoints.inbox(), &m_peers.inbox(), &m_operators.inbox(),
@@ -25,7 +25,7 @@
     return absl::OkStatus();
 }
 
-void router_process::run()
+operators_duty::ending router_process::run()
 {
     m_decisions.start();
     m_endpoints.start();
@@ -33,13 +33,14 @@
     m_peers.start();
     m_operators.start();
     m_platform.start();
-    m_finished.get_future().wait();
+    const auto how = m_ending.get_future().get();
     m_platform.stop();
     m_callers.stop();
     m_peers.stop();
     m_endpoints.stop();
     m_operators.stop();
     m_decisions.stop();
+    return how;
 }
 
 incarnation drawIncarnation()
--- a/src/kumquatbeam/duties/router_process.hpp
+++ b/src/kumquatbeam/duties/router_process.hpp
@@ -23,11 +23,11 @@
     /// Listens on every address; nothing runs before all of them are open.
     absl::Status listen();
 
-    /// Runs until a shutdown has finished.
-    void run();
+    /// Runs until a shutdown has finished or is interrupted.
+    operators_duty::ending run();
 
 private:
-    std::promise<void> m_finished;
+    std::promise<operators_duty::ending> m_ending;
     control_traffic m_traffic;
     duty_links m_links;
     decisions_duty m_decisions;
--- a/src/kumquatbeam/platform/platform_watch.cpp
+++ b/src/kumquatbeam/platform/platform_watch.cpp
@@ -20,7 +20,9 @@
 
     constexpr std::chrono::milliseconds watchWait { 10000 };
     constexpr std::chrono::milliseconds watchTimeout { 12000 };
-    constexpr std::chrono::milliseconds retryPause { 1000 };
+    /// Pause after a failure: a random time between these, so that a fleet does not come back all at once.
+    constexpr std::chrono::milliseconds shortestPause { 1000 };
+    constexpr std::chrono::milliseconds longestPause { 3000 };
     constexpr std::uint64_t textLimit = 1024 * 1024;
     constexpr unsigned http11 = 11;
 
@@ -33,6 +35,7 @@
     , m_path(std::move(path))
     , m_receiver(std::move(whenRead))
     , m_pause(context)
+    , m_random(std::random_device {}())
 {
 }
 
@@ -108,7 +111,8 @@
 void platform_watch::askAgainLater()
 {
     m_stream.reset();
-    m_pause.expires_after(retryPause);
+    std::uniform_int_distribution<std::int64_t> pauses(shortestPause.count(), longestPause.count());
+    m_pause.expires_after(std::chrono::milliseconds(pauses(m_random)));
     m_pause.async_wait([self = shared_from_this()](beast::error_code error) {
         if (!error)
             self->ask();
--- a/src/kumquatbeam/platform/platform_watch.hpp
+++ b/src/kumquatbeam/platform/platform_watch.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 
 namespace kumquatbeam {
@@ -39,6 +40,7 @@
     std::string m_path;
     receiver m_receiver;
     boost::asio::steady_timer m_pause;
+    std::minstd_rand m_random;
     std::optional<boost::beast::tcp_stream> m_stream;
     boost::beast::flat_buffer m_buffer;
     boost::beast::http::request<boost::beast::http::empty_body> m_request;
--- a/src/kumquatbeam/sessions/caller_session.cpp
+++ b/src/kumquatbeam/sessions/caller_session.cpp
@@ -80,8 +80,17 @@
     enqueue({ outgoing::form::LastChunk });
 }
 
+void caller_session::closeIfIdle()
+{
+    beast::error_code error;
+    const bool hasBytes = m_buffer.size() > 0 || m_stream.socket().available(error) > 0;
+    if (m_isReading && !m_parser->got_some() && !hasBytes)
+        closeConnection();
+}
+
 void caller_session::readRequest()
 {
+    m_isReading = true;
     m_parser.emplace();
     m_parser->header_limit(headerLimit);
     m_parser->body_limit(m_host.bodyLimit());
@@ -92,6 +101,7 @@
 
 void caller_session::onRead(beast::error_code error)
 {
+    m_isReading = false;
     m_stream.expires_never();
     if (!error) {
         handleRequest();
@@ -162,10 +172,10 @@
 
 void caller_session::writeReply(const call_reply& reply, bool keepAlive)
 {
-    m_keepAlive = keepAlive;
+    m_keepAlive = keepAlive && !m_host.isDraining();
     m_isLastQueued = true;
     std::ostringstream text;
-    text << encodeReply(reply, m_httpVersion, keepAlive, clock::now());
+    text << encodeReply(reply, m_httpVersion, m_keepAlive, clock::now());
     enqueue({ outgoing::form::Plain, text.str() });
 }
 
@@ -221,7 +231,7 @@
 {
     if (m_request)
         m_host.close(*std::exchange(m_request, std::nullopt));
-    if (m_keepAlive)
+    if (m_keepAlive && !m_host.isDraining())
         readRequest();
     else if (m_isRefusedUnread)
         discardRest();
@@ -247,12 +257,15 @@
 
 void caller_session::closeConnection()
 {
+    if (std::exchange(m_isClosed, true))
+        return;
     if (m_request)
         m_host.close(*std::exchange(m_request, std::nullopt));
     m_outgoing.clear();
     beast::error_code ignored;
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     m_stream.close();
+    m_host.end(*this);
 }
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/sessions/caller_session.hpp
+++ b/src/kumquatbeam/sessions/caller_session.hpp
@@ -39,7 +39,14 @@
     /// Tells the endpoint session that a piece has gone out.
     virtual void acknowledgePiece(request_id) = 0;
 
+    /// The connection has been closed; called once.
+    virtual void end(caller_session&) = 0;
+
     virtual bool isReady() const = 0;
+
+    /// Whether connections end with their next reply.
+    virtual bool isDraining() const = 0;
+
     virtual std::uint64_t bodyLimit() const = 0;
 };
 
@@ -57,6 +64,9 @@
     void deliver(const answer_end&);
     /// @}
 
+    /// Closes the connection unless a request is being read, in progress or being answered.
+    void closeIfIdle();
+
 private:
     /// What is to be written next, and how.
     struct outgoing {
@@ -94,6 +104,8 @@
     bool m_hasHeadGone = false;
     bool m_isLastQueued = false;
     bool m_isRefusedUnread = false;
+    bool m_isReading = false;
+    bool m_isClosed = false;
     time_point m_discardUntil = never;
 };
 
--- a/src/kumquatbeam/sessions/load_probe.cpp
+++ b/src/kumquatbeam/sessions/load_probe.cpp
@@ -101,7 +101,7 @@
     m_stream.reset();
     if (m_isStopped)
         return;
-    m_observer({ m_endpoint.endpoint, std::move(load) });
+    m_observer({ m_endpoint.endpoint, std::move(load), m_endpoint.address, m_endpoint.port });
     start();
 }
 
--- a/src/kumquatbeam/sessions/load_probe.hpp
+++ b/src/kumquatbeam/sessions/load_probe.hpp
@@ -26,6 +26,12 @@
     void start();
     void stop();
 
+    /// Whether the probe asks at this address.
+    bool asksAt(const endpoint_address& other) const
+    {
+        return m_endpoint.address == other.address && m_endpoint.port == other.port;
+    }
+
 private:
     void ask();
     void send(boost::beast::error_code);
--- a/src/kumquatbeam/settings/fleet_document.cpp
+++ b/src/kumquatbeam/settings/fleet_document.cpp
@@ -1,5 +1,8 @@
 #include "kumquatbeam/settings/fleet_document.hpp"
 
+#include "kumquatbeam/settings/document_checks.hpp"
+#include "kumquatbeam/types/wire_key.hpp"
+
 #include <array>
 
 namespace kumquatbeam {
@@ -58,7 +61,8 @@
         if (section.name.empty())
             faults.push_back({ failure_kind::MissingSetting, placeOf(section, "name", section.line) });
         fillRecord(record, table, section, faults);
-        records.emplace(record.id, std::move(record));
+        if (!records.try_emplace(record.id, record).second)
+            faults.push_back({ failure_kind::DuplicateName, placeOf(section, "", section.line), section.name });
     }
 
     void addSection(fleet_document& document, const ini_section& section, std::vector<failure>& faults)
@@ -74,15 +78,6 @@
                 "account, pool, endpoint" });
     }
 
-    void checkReferences(const fleet_document& document, std::vector<failure>& faults)
-    {
-        for (const auto& [id, endpoint] : document.endpoints) {
-            if (!document.pools.contains(endpoint.pool))
-                faults.push_back({ failure_kind::UnknownReference, "[endpoint " + id.value + "] pool",
-                    endpoint.pool.value, "a pool of this document" });
-        }
-    }
-
 } // namespace
 
 std::span<const setting_row<client_account>> clientAccountTable()
@@ -100,6 +95,11 @@
     return endpointRows;
 }
 
+wire_key descriptionKeyOf(const endpoint_description& endpoint)
+{
+    return wireKeyOf(endpoint.id.value + '\n' + endpoint.address + '\n' + std::to_string(endpoint.port));
+}
+
 document_verdict parseDocument(revision current, const std::string& text)
 {
     document_verdict verdict;
@@ -111,7 +111,7 @@
     }
     for (const auto& section : ini->sections)
         addSection(verdict.document, section, verdict.faults);
-    checkReferences(verdict.document, verdict.faults);
+    checkDocument(verdict.document, verdict.faults);
     return verdict;
 }
 
--- a/src/kumquatbeam/settings/fleet_document.hpp
+++ b/src/kumquatbeam/settings/fleet_document.hpp
@@ -55,6 +55,9 @@
     bool checksFencing = false;
 };
 
+/// The key of one life of an endpoint: its name at its address. An endpoint that moves gets another key.
+wire_key descriptionKeyOf(const endpoint_description&);
+
 /// The operators' long document once it has been accepted.
 struct fleet_document {
     revision current;
--- a/src/kumquatbeam/settings/ini_text.cpp
+++ b/src/kumquatbeam/settings/ini_text.cpp
@@ -29,6 +29,7 @@
                     section = line.substr(1, line.find(']') - 1);
                     boost::algorithm::trim(section);
                     m_lines[section] = number;
+                    m_headings.push_back(section);
                     continue;
                 }
                 std::string key = line.substr(0, line.find('='));
@@ -37,6 +38,9 @@
             }
         }
 
+        /// Headings in the order in which they were written.
+        const std::vector<std::string>& headings() const { return m_headings; }
+
         int lineOf(const std::string& section) const { return find(section); }
         int lineOf(const std::string& section, const std::string& key) const { return find(pathOf(section, key)); }
 
@@ -55,6 +59,7 @@
         }
 
         std::map<std::string, int> m_lines;
+        std::vector<std::string> m_headings;
     };
 
     ini_section sectionHeading(const std::string& heading, int line)
@@ -89,6 +94,11 @@
             section.entries.push_back({ key, value.data(), lines.lineOf(heading, key) });
         result.sections.push_back(std::move(section));
     }
+    // The parser drops sections without keys without a word.
+    for (const auto& heading : lines.headings()) {
+        if (tree.find(heading) == tree.not_found())
+            result.sections.push_back(sectionHeading(heading, lines.lineOf(heading)));
+    }
     return result;
 }
 
--- a/src/kumquatbeam/settings/member_list.cpp
+++ b/src/kumquatbeam/settings/member_list.cpp
@@ -29,12 +29,17 @@
         record.id = Id { section.name };
         const auto faultsBefore = faults.size();
         fillRecord(record, table, section, faults);
-        if (faults.size() == faultsBefore)
-            records.emplace(record.id, std::move(record));
+        if (faults.size() == faultsBefore && !records.try_emplace(record.id, record).second)
+            faults.push_back({ failure_kind::DuplicateName, placeOf(section, "", section.line), section.name });
     }
 
 } // namespace
 
+std::span<const setting_row<entry_vm>> entryVmTable()
+{
+    return entryVmRows;
+}
+
 member_verdict parseMembers(revision current, const std::string& text)
 {
     member_verdict verdict;
@@ -44,6 +49,7 @@
         verdict.faults.push_back(failureOf(ini.status()).value_or(failure { failure_kind::SyntaxError }));
         return verdict;
     }
+    verdict.isReadable = true;
     for (const auto& section : ini->sections) {
         if (section.kind == "entry-vm")
             addMember<entry_vm>(verdict.members.entryVms, entryVmRows, section, verdict.faults);
--- a/src/kumquatbeam/settings/member_list.hpp
+++ b/src/kumquatbeam/settings/member_list.hpp
@@ -36,8 +36,13 @@
 struct member_verdict {
     member_list members;
     std::vector<failure> faults;
+    /// Whether the text could be read at all; the members are empty otherwise.
+    bool isReadable = false;
 };
 
+/// The table of the keys that describe an entry VM.
+std::span<const setting_row<entry_vm>> entryVmTable();
+
 /// Parses the platform's list. Sections with faults are left out; the others count.
 member_verdict parseMembers(revision, const std::string& text);
 
--- a/src/kumquatbeam/settings/router_settings.cpp
+++ b/src/kumquatbeam/settings/router_settings.cpp
@@ -50,6 +50,19 @@
     return routerRows;
 }
 
+namespace {
+
+    void addInitialPeer(router_settings& settings, const ini_section& section, std::vector<failure>& faults)
+    {
+        entry_vm peer { .id = { section.name }, .domain = {}, .address = {} };
+        if (section.name.empty())
+            faults.push_back({ failure_kind::MissingSetting, placeOf(section, "name", section.line) });
+        fillRecord(peer, entryVmTable(), section, faults);
+        settings.initialPeers.push_back(std::move(peer));
+    }
+
+} // namespace
+
 absl::StatusOr<router_settings> parseRouterSettings(const std::string& text, std::vector<failure>& faults)
 {
     const auto ini = parseIni(text);
@@ -60,9 +73,13 @@
     router_settings settings;
     bool hasRouterSection = false;
     for (const auto& section : ini->sections) {
+        if (section.kind == "peer") {
+            addInitialPeer(settings, section, faults);
+            continue;
+        }
         if (section.kind != "router") {
             faults.push_back(
-                { failure_kind::UnknownSection, placeOf(section, "", section.line), section.kind, "router" });
+                { failure_kind::UnknownSection, placeOf(section, "", section.line), section.kind, "router, peer" });
             continue;
         }
         hasRouterSection = true;
--- a/src/kumquatbeam/settings/router_settings.hpp
+++ b/src/kumquatbeam/settings/router_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kumquatbeam/settings/member_list.hpp"
 #include "kumquatbeam/settings/setting_row.hpp"
 #include "kumquatbeam/types/ids.hpp"
 
@@ -34,6 +35,8 @@
     /// Time after which a shutdown no longer waits for calls in progress.
     std::chrono::milliseconds drainLimit { 60000 };
     std::string logLevel = "info";
+    /// Peers to ask while the platform has not answered, from the `[peer NAME]` sections.
+    std::vector<entry_vm> initialPeers;
 };
 
 /// Parses the text of a settings file. The status names the first fault; `faults` gets every one.
--- /dev/null
+++ b/tests/scenarios/leaving.py
@@ -0,0 +1,77 @@
+"""An endpoint that is leaving gets no new work after three seconds, by each source of the news alone."""
+
+import sys
+import time
+
+import fleet
+from checks import Checks
+from steady_calls import SteadyCalls
+
+LEAVING_BOUND_SECONDS = 3
+WATCHED_SECONDS = 5
+
+
+def starts_after(running, engine, moment):
+    return [start for start in running.engine_counts()[engine]["started_at"] if start > moment]
+
+
+def check_source(running, checks, source, engine, tell):
+    """Tells one source, and looks at the engine's own count of new work."""
+    time.sleep(1)
+    before = time.time()
+    checks.at_least(f"{source}: the endpoint has work before the news", len(starts_after(running, engine, before - 1)), 1)
+    tell()
+    told = time.time()
+    time.sleep(WATCHED_SECONDS)
+    late = starts_after(running, engine, told + LEAVING_BOUND_SECONDS)
+    checks.equal(f"{source}: new work later than {LEAVING_BOUND_SECONDS} s after the news", len(late), 0)
+    last = max(starts_after(running, engine, before - 1), default=told)
+    print(f"{source}: the last new work came {last - told:.2f} s after the news")
+
+
+def publish_leaving(running, *engines):
+    running.leaving_endpoints = {f"engine{engine}" for engine in engines}
+    running.publish_members()
+
+
+def check_alone(checks):
+    """One router, so that no peer can tell it."""
+    with fleet.Fleet(routers=1, engines=4, services=0) as running, SteadyCalls(running, running.routers[0], threads=24):
+        check_source(running, checks, "member list", 0, lambda: publish_leaving(running, 0))
+        check_source(running, checks, "own report", 1, lambda: running.engine_control(1, leaving="yes"))
+
+        publish_leaving(running)
+        running.engine_control(1, leaving="no")
+        running.publish_document()
+        taken_back = time.time()
+        time.sleep(3)
+        checks.equal("what is leaving stays so when the word is taken back",
+                     len(starts_after(running, 0, taken_back)) + len(starts_after(running, 1, taken_back)), 0)
+
+        spare, = fleet.free_ports(1)
+        running.spawn("spare", [sys.executable, "engine.py", "--ports", spare, "--slots", running.engine_slots])
+        running.wait_for_port("127.0.0.1", spare)
+        running.engine_ports[0] = running.engine_listed[0] = spare
+        running.publish_document()
+        time.sleep(2)
+        checks.at_least("the name at a new address has work again", running.engine_counts()[0]["started"], 1)
+
+
+def check_peer(checks):
+    """The router that has the traffic is cut off from the platform, so that only its peer can tell it."""
+    with fleet.Fleet(routers=2, engines=3, services=0, relay=True) as running:
+        router = running.routers[0]
+        running.relay(from_=router.address, to=running.platform_listed, mode="cut")
+        with SteadyCalls(running, router, threads=24):
+            check_source(running, checks, "peer", 0, lambda: publish_leaving(running, 0))
+
+
+def main():
+    checks = Checks("leaving")
+    check_alone(checks)
+    check_peer(checks)
+    return checks.conclude()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/scenarios/shutdown.py
@@ -0,0 +1,123 @@
+"""A graceful shutdown under load cuts nothing: every answer is whole or a typed refusal, and the exit code is 0."""
+
+import http.client
+import socket
+import sys
+import threading
+import time
+
+import fleet
+from checks import Checks
+from steady_calls import SteadyCalls
+
+NOTICE_MS = 1500
+ENDING_BOUND_SECONDS = 20
+EXIT_INTERRUPTED = 5
+
+
+def is_ready(router):
+    try:
+        return fleet.http("GET", router.url("/ready"), timeout=2)[0] == 200
+    except OSError:
+        return None
+
+
+class IdleConnection:
+    """A connection that has had one answer and is kept open."""
+
+    def __init__(self, running, router):
+        self.connection = http.client.HTTPConnection(router.address, router.caller_port, timeout=10)
+        self.connection.request("POST", "/v1/call/model/generate", "id=i tokens=1 ms=1",
+                                {"Authorization": f"Bearer {running.accounts[0].credential}"})
+        self.connection.getresponse().read()
+
+    def is_closed(self):
+        self.connection.sock.settimeout(5)
+        try:
+            return self.connection.sock.recv(1) == b""
+        except socket.timeout:
+            return False
+
+
+class SlowReader:
+    """A caller with a small receive buffer that reads its answer late."""
+
+    def __init__(self, running, router):
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.socket.connect((router.address, router.caller_port))
+        self.name, self.tokens = "s" * 60000, 150
+        body = f"id={self.name} tokens={self.tokens} ms=1"
+        self.socket.sendall((f"POST /v1/call/model/generate HTTP/1.1\r\nHost: r\r\nContent-Length: {len(body)}\r\n"
+                             f"Authorization: Bearer {running.accounts[1].credential}\r\n\r\n{body}").encode())
+        self.answer = b""
+        self.thread = threading.Thread(target=self.read, daemon=True)
+        self.thread.start()
+
+    def read(self):
+        time.sleep(4)
+        self.socket.settimeout(20)
+        response = http.client.HTTPResponse(self.socket)
+        try:
+            response.begin()
+            self.answer = response.read()
+        except (OSError, http.client.HTTPException) as error:
+            self.answer = repr(error).encode()
+
+    def is_whole(self):
+        self.thread.join(30)
+        wanted = "".join(f"{self.name}:{index} " for index in range(self.tokens)) + f"end {self.name} {self.tokens}\n"
+        return self.answer == wanted.encode()
+
+
+def check_graceful(running, checks):
+    router = running.routers[0]
+    idle = IdleConnection(running, router)
+    slow = SlowReader(running, router)
+    with SteadyCalls(running, router, threads=30, tokens=30, pause_ms=30) as calls:
+        time.sleep(2.5)
+        running.terminate(router)
+        told = time.time()
+        time.sleep(0.3)
+        checks.equal("the router is not ready at once", is_ready(router), False)
+        time.sleep(NOTICE_MS / 1000 - 0.8)
+        peers = {row["entry_vm"]: row for row in running.status(running.routers[1])["peers"]}
+        checks.equal("peers take the router for leaving", peers[router.name]["reachable"], False)
+        checks.equal("the exit code is 0", router.process.wait(ENDING_BOUND_SECONDS), 0)
+        ended = time.time()
+    in_notice = calls.kinds(since=told, until=told + NOTICE_MS / 1000 - 0.3)
+    checks.at_least("calls of the notice time are served", in_notice["whole"], 1)
+    checks.equal("calls of the notice time are not refused", in_notice["not-run"] + in_notice["refused-connection"], 0)
+    kinds = calls.kinds()
+    print(f"outcomes: {dict(kinds)}; not run: {dict(calls.details('not-run'))}; cut: {dict(calls.details('cut'))}")
+    checks.equal("no call is cut", kinds["cut"], 0)
+    checks.equal("no call is unknown", kinds["unknown"], 0)
+    checks.equal("what is not run says draining", set(calls.details("not-run")) - {"draining"}, set())
+    checks.true("an idle connection is closed", idle.is_closed())
+    checks.true("a slow reader gets its whole answer", slow.is_whole(), f"{len(slow.answer)} bytes")
+    checks.at_least("the router waited for its callers, seconds", round(ended - told, 1), NOTICE_MS / 1000)
+
+
+def check_second_signal(running, checks):
+    router = running.routers[1]
+    thread = threading.Thread(target=SteadyCalls(running, router, tokens=500, pause_ms=20).call_once,
+                              args=("long", running.accounts[0]), daemon=True)
+    thread.start()
+    time.sleep(0.5)
+    running.terminate(router)
+    time.sleep(0.5)
+    checks.equal("a shutdown waits for a long call", router.process.poll(), None)
+    running.terminate(router)
+    checks.equal("a second signal ends at once with its own code", router.process.wait(3), EXIT_INTERRUPTED)
+
+
+def main():
+    checks = Checks("shutdown")
+    with fleet.Fleet(routers=2, engines=3, services=1, settings={"drain-notice-ms": NOTICE_MS}) as running:
+        check_graceful(running, checks)
+        check_second_signal(running, checks)
+    return checks.conclude()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/unit/drain_controller.tests.cpp
@@ -0,0 +1,90 @@
+#include "kumquatbeam/controllers/drain_controller.hpp"
+
+#include "recorded_commands.hpp"
+
+#include <doctest/doctest.h>
+
+namespace {
+
+using namespace kumquatbeam;
+using namespace std::chrono_literals;
+
+/// A drain controller with a notice of one second and a limit of ten.
+class driven_drain {
+public:
+    driven_drain()
+    {
+        m_settings.drainNotice = 1000ms;
+        m_settings.drainLimit = 10000ms;
+    }
+
+    void give(const decision_event& event)
+    {
+        decision_context context { now, commands, m_log, m_raised };
+        drain.handle(event, context);
+    }
+
+    void passUntil(time_point then)
+    {
+        now = then;
+        decision_context context { now, commands, m_log, m_raised };
+        if (drain.nextDeadline() <= now)
+            drain.onDeadline(context);
+    }
+
+    recorded_commands commands;
+    time_point now = time_point {} + 1h;
+
+private:
+    router_settings m_settings;
+    recorded_log m_log;
+    std::deque<decision_event> m_raised;
+
+public:
+    drain_controller drain { m_settings };
+};
+
+} // namespace
+
+TEST_CASE("A shutdown is not ready at once and takes requests until the notice has passed [drain]")
+{
+    driven_drain driven;
+    const auto began = driven.now;
+    driven.give(shutdown_requested {});
+    CHECK(driven.commands.all<begin_drain>().size() == 1);
+    CHECK(driven.commands.all<stop_accepting>().empty());
+    CHECK_FALSE(driven.drain.refusesRequests(began + 999ms));
+    CHECK(driven.drain.refusesRequests(began + 1000ms));
+    driven.passUntil(began + 1000ms);
+    CHECK(driven.commands.all<stop_accepting>().size() == 1);
+}
+
+TEST_CASE("A shutdown waits for the requests in progress and then for their callers [drain]")
+{
+    driven_drain driven;
+    driven.give(request_admitted { {} });
+    driven.give(shutdown_requested {});
+    driven.passUntil(driven.now + 1000ms);
+    CHECK(driven.commands.all<finish_callers>().empty());
+    driven.give(request_ended { {}, {} });
+    CHECK(driven.commands.all<finish_callers>().size() == 1);
+    CHECK(driven.commands.all<finish_process>().empty());
+    driven.give(callers_finished {});
+    CHECK(driven.commands.all<finish_process>().size() == 1);
+    CHECK(driven.drain.nextDeadline() == never);
+}
+
+TEST_CASE("A shutdown ends at its limit whatever is in progress, and once [drain]")
+{
+    driven_drain driven;
+    const auto began = driven.now;
+    driven.give(request_admitted { {} });
+    driven.give(shutdown_requested {});
+    driven.give(shutdown_requested {});
+    driven.passUntil(began + 1000ms);
+    driven.passUntil(began + 10999ms);
+    CHECK(driven.commands.all<finish_process>().empty());
+    driven.passUntil(began + 11000ms);
+    driven.give(callers_finished {});
+    CHECK(driven.commands.all<finish_process>().size() == 1);
+}
--- a/tests/unit/fleet_document.tests.cpp
+++ b/tests/unit/fleet_document.tests.cpp
@@ -1,5 +1,7 @@
 #include "kumquatbeam/settings/fleet_document.hpp"
 
+#include "kumquatbeam/types/wire_key.hpp"
+
 #include <doctest/doctest.h>
 
 #include <string>
@@ -56,3 +58,59 @@
     REQUIRE(verdict.faults.size() == 1);
     CHECK(verdict.faults[0].kind == failure_kind::UnknownReference);
 }
+
+namespace {
+
+std::string accountSection(const std::string& name, const std::string& credential)
+{
+    return "[account " + name + "]\nowner=accounts\nshare=1\ncredential-sha256=" + credential + "\n";
+}
+
+std::vector<failure_kind> faultKinds(const std::string& text)
+{
+    std::vector<failure_kind> kinds;
+    for (const auto& fault : parseDocument({ 1 }, text).faults)
+        kinds.push_back(fault.kind);
+    return kinds;
+}
+
+} // namespace
+
+TEST_CASE("Two accounts with one credential are refused [fleet_document]")
+{
+    CHECK(faultKinds(accountSection("a", digest) + accountSection("b", digest))
+        == std::vector { failure_kind::DuplicateName });
+}
+
+TEST_CASE("A digest that is not lower-case hexadecimal is refused [fleet_document]")
+{
+    CHECK(faultKinds(accountSection("a", std::string(64, 'g'))) == std::vector { failure_kind::MalformedValue });
+    CHECK(faultKinds(accountSection("a", std::string(64, 'A'))) == std::vector { failure_kind::MalformedValue });
+}
+
+TEST_CASE("A lease shorter than two beats is refused [fleet_document]")
+{
+    const std::string pool = "[pool p]\nowner=o\nrepeatable=yes\nbeat-ms=100\nlease-ms=";
+    CHECK(faultKinds(pool + "199\n") == std::vector { failure_kind::ValueOutOfRange });
+    CHECK(faultKinds(pool + "200\n").empty());
+}
+
+TEST_CASE("Names whose wire keys collide are refused [fleet_document]")
+{
+    // These two differ and have one FNV-1a hash of 32 bits.
+    REQUIRE(wireKeyOf(std::string("costarring")) == wireKeyOf(std::string("liquid")));
+    CHECK(faultKinds(accountSection("costarring", digest) + accountSection("liquid", std::string(64, 'b')))
+        == std::vector { failure_kind::DuplicateName });
+}
+
+TEST_CASE("Comments are skipped, and a section without keys counts [fleet_document]")
+{
+    CHECK(faultKinds("; a comment\n# another\n" + accountSection("a", digest) + "; the end\n").empty());
+    CHECK(faultKinds(accountSection("a", digest) + "[pool p]\n").size() == 2);
+}
+
+TEST_CASE("A name that stands twice in other spacing is refused [fleet_document]")
+{
+    CHECK(faultKinds(accountSection("a", digest) + accountSection(" a", std::string(64, 'b')))
+        == std::vector { failure_kind::DuplicateName });
+}
--- /dev/null
+++ b/tests/unit/membership_controller.tests.cpp
@@ -0,0 +1,221 @@
+#include "kumquatbeam/controllers/decision_core.hpp"
+
+#include "recorded_commands.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+
+namespace {
+
+using namespace kumquatbeam;
+using namespace std::chrono_literals;
+
+const entry_vm_id self { "r1" };
+const entry_vm_id peer { "r2" };
+const endpoint_id engine { "e1" };
+
+std::string documentAtPort(int port)
+{
+    return "[pool model]\nowner=models\nrepeatable=yes\n[endpoint e1]\nowner=e\npool=model\ndomain=north\n"
+           "address=127.0.0.1\nslots=1\nport="
+        + std::to_string(port) + "\n";
+}
+
+std::string members(bool isPeerLeaving = false)
+{
+    return "[entry-vm r1]\ndomain=north\naddress=127.0.0.1\npeer-port=1\n[entry-vm r2]\ndomain=south\n"
+           "address=127.0.0.2\npeer-port=1\nleaving="
+        + std::string(isPeerLeaving ? "yes\n" : "no\n");
+}
+
+const std::string engineLeaving = "[endpoint e1]\nleaving=yes\n";
+
+/// Decisions of r1 that know r2 and one engine at port 9000.
+class member_core {
+public:
+    explicit member_core(router_settings settings = { .self = self, .domain = { "north" } })
+        : m_core(std::move(settings), incarnation { 1 }, commands, log)
+    {
+        m_core.onDeadline(now);
+    }
+
+    void join()
+    {
+        give(members_published { { 1 }, members() });
+        give(document_published { { 1 }, documentAtPort(9000) });
+        give(peer_connected { { peer, { 7 }, { "south" } } });
+        hear({});
+    }
+
+    void give(const decision_event& event) { m_core.handle(event, now); }
+    void hear(peer_heartbeat heartbeat) { give(peer_received { peer, std::move(heartbeat) }); }
+
+    void pass(std::chrono::milliseconds span)
+    {
+        const auto end = now + span;
+        while (now < end) {
+            now += 50ms;
+            if (m_core.nextDeadline() <= now)
+                m_core.onDeadline(now);
+        }
+    }
+
+    status_report status()
+    {
+        commands.clear();
+        give(status_requested { { 1 } });
+        return commands.all<status_reply>().front().report;
+    }
+
+    bool isEngineLeaving() { return status().endpoints.front().isLeaving; }
+    bool isPeerReachable() { return status().peers.front().isReachable; }
+
+    bool saysPeerSilent() const
+    {
+        return std::any_of(log.changes.begin(), log.changes.end(),
+            [](const change_record& record) { return record.change == "peer silent"; });
+    }
+
+    recorded_commands commands;
+    recorded_log log;
+    time_point now = time_point {} + 1h;
+
+private:
+    decision_core m_core;
+};
+
+load_observed leavingReport(std::int64_t port)
+{
+    return { engine, endpoint_load { engine, 0, 0, true }, "127.0.0.1", port };
+}
+
+wire_key engineKey(std::int64_t port)
+{
+    endpoint_description description;
+    description.id = engine;
+    description.address = "127.0.0.1";
+    description.port = port;
+    return descriptionKeyOf(description);
+}
+
+} // namespace
+
+TEST_CASE("An endpoint is leaving by any one source, and stays so when the source takes it back [membership]")
+{
+    member_core core;
+    core.join();
+    REQUIRE_FALSE(core.isEngineLeaving());
+    SUBCASE("the member list")
+    {
+        core.give(members_published { { 2 }, members() + engineLeaving });
+    }
+    SUBCASE("its own report")
+    {
+        core.give(leavingReport(9000));
+    }
+    SUBCASE("a peer")
+    {
+        core.hear({ .leavingEndpoints = { engineKey(9000) } });
+    }
+    CHECK(core.isEngineLeaving());
+    core.give(members_published { { 3 }, members() });
+    core.give(load_observed { engine, endpoint_load { engine, 0, 0, false }, "127.0.0.1", 9000 });
+    core.hear({});
+    core.give(document_published { { 2 }, documentAtPort(9000) });
+    CHECK(core.isEngineLeaving());
+}
+
+TEST_CASE("An endpoint at a new address has a new life, whatever lags behind [membership]")
+{
+    member_core core;
+    core.join();
+    core.give(members_published { { 2 }, members() + engineLeaving });
+    core.give(document_published { { 2 }, documentAtPort(9001) });
+    CHECK_FALSE(core.isEngineLeaving());
+    core.give(members_published { { 3 }, members() + engineLeaving });
+    core.give(leavingReport(9000));
+    core.hear({ .leavingEndpoints = { engineKey(9000) } });
+    CHECK_FALSE(core.isEngineLeaving());
+    core.give(members_published { { 4 }, members() });
+    core.give(members_published { { 5 }, members() + engineLeaving });
+    CHECK(core.isEngineLeaving());
+}
+
+TEST_CASE("Peers are told at once which endpoints are leaving [membership]")
+{
+    member_core core;
+    core.join();
+    core.pass(100ms);
+    core.commands.clear();
+    core.give(leavingReport(9000));
+    core.pass(50ms);
+    const auto heartbeats = core.commands.messages<peer_heartbeat>();
+    REQUIRE(heartbeats.size() == 1);
+    CHECK(heartbeats.front().second.leavingEndpoints == std::vector { engineKey(9000) });
+}
+
+TEST_CASE("A silent peer is unreachable after the stated limit and reachable when it speaks again [membership]")
+{
+    member_core core;
+    core.join();
+    CHECK(core.isPeerReachable());
+    core.pass(membership_controller::beliefLimit - 100ms);
+    CHECK(core.isPeerReachable());
+    core.pass(200ms);
+    CHECK_FALSE(core.isPeerReachable());
+    CHECK(core.saysPeerSilent());
+    core.hear({});
+    CHECK(core.isPeerReachable());
+}
+
+TEST_CASE("A peer that drains or that the list calls leaving is not reachable [membership]")
+{
+    member_core core;
+    core.join();
+    SUBCASE("draining")
+    {
+        core.hear({ .isDraining = true });
+    }
+    SUBCASE("leaving")
+    {
+        core.give(members_published { { 2 }, members(true) });
+    }
+    CHECK_FALSE(core.isPeerReachable());
+}
+
+TEST_CASE("After a pause what peers said before is not believed [membership]")
+{
+    member_core core;
+    core.join();
+    core.now += pause_detector::gapLimit + 1ms;
+    core.commands.clear();
+    core.hear({ .leavingEndpoints = { engineKey(9000) } });
+    CHECK(core.commands.all<reset_peers>().size() == 1);
+    CHECK_FALSE(core.isPeerReachable());
+    CHECK_FALSE(core.isEngineLeaving());
+    core.give(peer_connected { { peer, { 7 }, { "south" } } });
+    CHECK(core.isPeerReachable());
+}
+
+TEST_CASE("A member list that cannot be read leaves the last one in use [membership]")
+{
+    member_core core;
+    core.join();
+    core.commands.clear();
+    core.give(members_published { { 2 }, "[entry-vm" });
+    CHECK(core.commands.all<set_peers>().empty());
+    CHECK(core.status().peers.size() == 1);
+    CHECK_FALSE(core.log.failures.empty());
+}
+
+TEST_CASE("The initial peers of the settings are connected with while the platform is silent [membership]")
+{
+    router_settings settings { .self = self, .domain = { "north" } };
+    settings.initialPeers.push_back({ peer, { "south" }, "127.0.0.2", 9 });
+    member_core core(std::move(settings));
+    const auto commands = core.commands.all<set_peers>();
+    REQUIRE(commands.size() == 1);
+    CHECK(commands.front().peers.front().id == peer);
+}
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -87,9 +87,10 @@
 
     def __init__(self, routers=5, engines=10, engine_slots=8, services=3, service_slots=4, accounts=None,
                  strategy="local-only", relay=False, settings=None, model_pool="", service_pool="", log_level="info",
-                 keep_logs=False):
+                 keep_logs=False, initial_peers=False):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="kumquatbeam-"))
         self.keep_logs = keep_logs
+        self.initial_peers = initial_peers
         self.accounts = accounts or [Account(f"account{number:02}", share) for number, share in
                                      enumerate([8000, 4000, 2000] + [1000] * 12 + [250])]
         self.strategy = strategy
@@ -196,11 +197,15 @@
                          f"address=127.0.0.1\nport={port}\nslots={slots}\n\n")
         return text
 
+    def peer_port_of(self, router):
+        """The port by which peers reach a router."""
+        return router.relay_port if self.use_relay else router.peer_port
+
     def members(self):
         """The member list as it stands now."""
         text = ""
         for router in self.routers:
-            port = router.relay_port if self.use_relay else router.peer_port
+            port = self.peer_port_of(router)
             leaving = "yes" if router.name in self.leaving_routers else "no"
             text += (f"[entry-vm {router.name}]\ndomain={router.domain}\naddress={router.address}\npeer-port={port}\n"
                      f"leaving={leaving}\n\n")
@@ -234,7 +239,11 @@
             "operator-address": router.address, "operator-port": router.operator_port,
             "platform-address": "127.0.0.1", "platform-port": self.platform_listed,
             "strategy": self.strategy, "log-level": self.log_level, **self.extra_settings}
-        return "[router]\n" + "".join(f"{key}={value}\n" for key, value in values.items())
+        text = "[router]\n" + "".join(f"{key}={value}\n" for key, value in values.items())
+        if self.initial_peers:
+            text += "".join(f"[peer {peer.name}]\ndomain={peer.domain}\naddress={peer.address}\n"
+                            f"peer-port={self.peer_port_of(peer)}\n" for peer in self.routers if peer is not router)
+        return text
 
     def start_router(self, router):
         path = self.folder / f"{router.name}.ini"
