--- a/apps/exit_code.hpp
+++ b/apps/exit_code.hpp
@@ -9,6 +9,7 @@
 inline constexpr int exitSettings = 3;
 inline constexpr int exitUnreachable = 4;
 inline constexpr int exitDiffers = 5;
+inline constexpr int exitInterrupted = 6;
 /// @}
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/decision_core.hpp
+++ b/src/kumquatbeam/controllers/decision_core.hpp
@@ -10,6 +10,7 @@
 #include "kumquatbeam/controllers/metrics_controller.hpp"
 #include "kumquatbeam/controllers/placement_controller.hpp"
 #include "kumquatbeam/controllers/reply_controller.hpp"
+#include "kumquatbeam/decisions/pause_detector.hpp"
 #include "kumquatbeam/filters/filter_chain.hpp"
 #include "kumquatbeam/settings/router_settings.hpp"
 #include "kumquatbeam/types/ids.hpp"
@@ -31,6 +32,7 @@
     void onDeadline(time_point now);
 
 private:
+    void notePause(decision_context&);
     void dispatch(const decision_event&, decision_context&);
     void filterRequest(const request_arrived&, decision_context&);
     void reportStatus(const status_requested&, decision_context&);
@@ -42,6 +44,7 @@
     decision_log& m_log;
     std::deque<decision_event> m_raised;
 
+    pause_detector m_pauses;
     configuration_controller m_configuration;
     metrics_controller m_metrics;
     membership_controller m_membership;
--- a/src/kumquatbeam/settings/router_settings.hpp
+++ b/src/kumquatbeam/settings/router_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kumquatbeam/settings/member_list.hpp"
 #include "kumquatbeam/settings/setting_row.hpp"
 #include "kumquatbeam/types/ids.hpp"
 
@@ -47,6 +48,8 @@
     log_level logLevel = log_level::Info;
     /// Log lines a second; what goes beyond it is dropped and counted.
     std::int64_t logRate = 20'000;
+    /// Peers to ask while the platform has not answered, from the `[peer NAME]` sections.
+    std::vector<entry_vm> initialPeers;
 };
 
 /// Parses the text of a settings file. The status names the first fault; `faults` gets every one. A strategy that is
