--- a/apps/load.cpp
+++ b/apps/load.cpp
@@ -12,7 +12,7 @@
 constexpr char usage[] = R"(kumquatbeam-load: sends a mix of calls to a fleet and reports what came of them.
 
 Usage:
-  kumquatbeam-load --routers=LIST --mix=FILE [--seconds=N] [--seed=S]
+  kumquatbeam-load --routers=LIST --mix=FILE [--seconds=N] [--seed=S] [--orders=FILE]
   kumquatbeam-load --help
   kumquatbeam-load --version
 
@@ -21,6 +21,8 @@
   --mix=FILE      The streams of calls, in INI.
   --seconds=N     Length of the run [default: 10].
   --seed=S        Seed of the random choices [default: 1].
+  --orders=FILE   Write a line for each order: its id, its outcome, and each attempt as
+                  ROUTER:OUTCOME:BEGAN:ENDED, with times in ms since 1970.
   --help          Show this text.
   --version       Show the version.
 
@@ -41,6 +43,8 @@
     }
     plan.length = std::chrono::seconds(arguments.at("--seconds").asLong());
     plan.seed = static_cast<std::uint64_t>(arguments.at("--seed").asLong());
+    if (const auto orders = arguments.at("--orders"); orders.isString())
+        plan.ordersFile = orders.asString();
     const auto text = readTextFile(arguments.at("--mix").asString());
     if (!text.ok()) {
         std::cerr << text.status().message() << "\n";
--- a/src/kumquatbeam/codec/http_call.cpp
+++ b/src/kumquatbeam/codec/http_call.cpp
@@ -81,6 +81,8 @@
     {
         if (method != http::verb::get && method != http::verb::post)
             return malformed("method", toStd(http::to_string(method)), "GET or POST");
+        if (call.isTicketRequest && method != http::verb::post)
+            return malformed("method", toStd(http::to_string(method)), "POST for a ticket");
         call.effect = method == http::verb::get ? call_effect::Read : call_effect::Write;
         return absl::OkStatus();
     }
--- a/src/kumquatbeam/controllers/decision_core.cpp
+++ b/src/kumquatbeam/controllers/decision_core.cpp
@@ -3,6 +3,7 @@
 #include "kumquatbeam/filters/account_filter.hpp"
 #include "kumquatbeam/filters/deadline_filter.hpp"
 #include "kumquatbeam/filters/drain_filter.hpp"
+#include "kumquatbeam/filters/order_ticket_filter.hpp"
 #include "kumquatbeam/filters/pool_filter.hpp"
 #include "kumquatbeam/filters/queue_limit_filter.hpp"
 
@@ -17,18 +18,21 @@
     , m_commands(commands)
     , m_log(log)
     , m_membership(m_settings.self, m_configuration)
+    , m_orders(m_settings.self, life, m_configuration, m_internalIds)
     , m_placement(m_settings, m_configuration, m_membership)
     , m_drain(m_settings)
 {
     m_controllers.push_back(&m_configuration);
     m_controllers.push_back(&m_membership);
+    m_controllers.push_back(&m_orders);
     m_controllers.push_back(&m_placement);
     m_controllers.push_back(&m_reply);
     m_controllers.push_back(&m_drain);
 
-    m_chain.append(std::make_unique<drain_filter>(m_drain));
     m_chain.append(std::make_unique<account_filter>(m_configuration));
     m_chain.append(std::make_unique<pool_filter>(m_configuration));
+    m_chain.append(std::make_unique<order_ticket_filter>(m_orders, m_membership));
+    m_chain.append(std::make_unique<drain_filter>(m_drain));
     m_chain.append(std::make_unique<deadline_filter>(m_configuration));
     m_chain.append(std::make_unique<queue_limit_filter>(m_placement));
 }
@@ -61,7 +65,8 @@
 void decision_core::dispatch(const decision_event& event, decision_context& context)
 {
     const event_handlers handlers {
-        [&](const request_arrived& arrived) { filterRequest(arrived, context); },
+        [&](const request_arrived& arrived) { filterRequest({ .id = arrived.id, .call = arrived.call }, context); },
+        [&](const peer_received& received) { takeForwarded(received, context); },
         [&](const status_requested& query) { reportStatus(query, context); },
     };
     std::visit(handlers, event);
@@ -69,18 +74,29 @@
         part->handle(event, context);
 }
 
-void decision_core::filterRequest(const request_arrived& arrived, decision_context& context)
+void decision_core::takeForwarded(const peer_received& received, decision_context& context)
+{
+    const auto* forwarded = std::get_if<order_forward>(&received.message);
+    if (!forwarded)
+        return;
+    filterRequest({ .id = m_internalIds.next(),
+                      .call = std::make_shared<const call_request>(forwarded->call),
+                      .forwardedBy = forward_origin { received.from, forwarded->id } },
+        context);
+}
+
+void decision_core::filterRequest(request_context request, decision_context& context)
 {
-    request_context request { .id = arrived.id, .call = arrived.call };
     auto verdict = m_chain.apply(request, context.now);
     if (!verdict) {
         context.raised.emplace_back(request_admitted { std::move(request) });
         return;
     }
-    if (verdict->reply.problem)
-        context.log.refused(
-            { arrived.id, request.account, arrived.call->pool, verdict->filter, *verdict->reply.problem });
-    context.commands.send(caller_command { reply_to_caller { arrived.id, std::move(verdict->reply) } });
+    auto& reply = verdict->reply;
+    m_orders.settleRefusal(request, reply, context.now);
+    if (reply.problem)
+        context.log.refused({ request.id, request.account, request.call->pool, verdict->filter, *reply.problem });
+    reply_controller::deliver(request, std::move(reply), context);
 }
 
 void decision_core::reportStatus(const status_requested& query, decision_context& context)
--- a/src/kumquatbeam/controllers/decision_core.hpp
+++ b/src/kumquatbeam/controllers/decision_core.hpp
@@ -6,7 +6,9 @@
 #include "kumquatbeam/controllers/decision_event.hpp"
 #include "kumquatbeam/controllers/decision_log.hpp"
 #include "kumquatbeam/controllers/drain_controller.hpp"
+#include "kumquatbeam/controllers/internal_request_ids.hpp"
 #include "kumquatbeam/controllers/membership_controller.hpp"
+#include "kumquatbeam/controllers/order_controller.hpp"
 #include "kumquatbeam/controllers/placement_controller.hpp"
 #include "kumquatbeam/controllers/reply_controller.hpp"
 #include "kumquatbeam/filters/filter_chain.hpp"
@@ -31,7 +33,8 @@
 
 private:
     void dispatch(const decision_event&, decision_context&);
-    void filterRequest(const request_arrived&, decision_context&);
+    void takeForwarded(const peer_received&, decision_context&);
+    void filterRequest(request_context, decision_context&);
     void reportStatus(const status_requested&, decision_context&);
     void settleRaised(decision_context&);
 
@@ -43,6 +46,8 @@
 
     configuration_controller m_configuration;
     membership_controller m_membership;
+    internal_request_ids m_internalIds;
+    order_controller m_orders;
     placement_controller m_placement;
     reply_controller m_reply;
     drain_controller m_drain;
--- /dev/null
+++ b/src/kumquatbeam/controllers/order_controller.cpp
@@ -0,0 +1,217 @@
+#include "kumquatbeam/controllers/order_controller.hpp"
+
+#include "kumquatbeam/filters/request_filter.hpp"
+#include "kumquatbeam/types/invariant.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquatbeam {
+
+namespace {
+
+    /// How much longer than its deadline a request waits for an order's reply, which is due at the same deadline and
+    /// says more than "unknown".
+    constexpr std::chrono::milliseconds outcomeGrace { 150 };
+
+    /// The context of a request that waits: the body and the credential are no longer needed.
+    request_context withoutBody(const request_context& context)
+    {
+        auto call = std::make_shared<call_request>();
+        call->pool = context.call->pool;
+        call->effect = context.call->effect;
+        call->target = context.call->target;
+        call->ticket = context.call->ticket;
+        auto waiting = context;
+        waiting.call = std::move(call);
+        return waiting;
+    }
+
+    std::uint64_t drawNonce(std::random_device& source)
+    {
+        constexpr unsigned halfBits = 32;
+        return (std::uint64_t { source() } << halfBits) | source();
+    }
+
+} // namespace
+
+order_controller::order_controller(
+    entry_vm_id self, incarnation life, const configuration_controller& configuration, internal_request_ids& ids)
+    : m_configuration(configuration)
+    , m_ids(ids)
+    , m_book(std::move(self), life)
+{
+}
+
+void order_controller::handle(const decision_event& event, decision_context& context)
+{
+    const event_handlers handlers {
+        [&](const request_admitted& admitted) { admit(admitted.context, context); },
+        [&](const request_ended& ended) {
+            if (ended.context.order)
+                endOrder(ended, context);
+        },
+        [&](const request_abandoned& abandoned) { leave(abandoned.id, std::nullopt, context); },
+        [&](const peer_received& received) { receive(received, context); },
+        [&](const peer_lost& lost) {
+            failForwards(
+                lost.peer, [](const order_ticket&) { return true; }, failure_kind::OwnerUnreachable, context);
+        },
+        [&](const peer_connected& connected) {
+            const auto life = connected.greeting.life;
+            failForwards(
+                connected.greeting.from, [life](const order_ticket& ticket) { return ticket.life != life; },
+                failure_kind::TicketUnknown, context);
+        },
+    };
+    std::visit(handlers, event);
+}
+
+time_point order_controller::nextDeadline() const
+{
+    const auto nextAnswer = m_answerTimes.empty() ? never : m_answerTimes.begin()->first;
+    return std::min(nextAnswer, m_book.nextDeadline());
+}
+
+void order_controller::onDeadline(decision_context& context)
+{
+    while (!m_answerTimes.empty() && m_answerTimes.begin()->first <= context.now)
+        leave(m_answerTimes.begin()->second, unknownOutcome({ failure_kind::DeadlinePassed, "order" }), context);
+    m_book.expire(context.now);
+}
+
+bool order_controller::hasRoomFor(const client_account_id& account) const
+{
+    return m_book.hasRoomFor(account, m_configuration.current()->accounts.at(account).ticketLimit);
+}
+
+void order_controller::settleRefusal(const request_context& request, call_reply& reply, time_point now)
+{
+    const auto& call = *request.call;
+    if (reply.kind != reply_kind::NotRun || call.effect != call_effect::Write || call.isTicketRequest || !call.ticket)
+        return;
+    const bool isProved = m_book.isHolderOf(*call.ticket)
+        && m_book.close(*call.ticket, request.account, fingerprintOf(call), reply, now);
+    if (!isProved)
+        reply.kind = reply_kind::Unknown;
+}
+
+void order_controller::admit(const request_context& request, decision_context& context)
+{
+    switch (request.route) {
+    case request_route::Queue:
+        KUMQUATBEAM_INVARIANT(request.isRepeatable || request.order.has_value());
+        break;
+    case request_route::Issue:
+        issue(request, context);
+        break;
+    case request_route::Place:
+        place(request, context);
+        break;
+    case request_route::Join:
+        join(request);
+        break;
+    case request_route::Forward:
+        forward(request, context);
+        break;
+    }
+}
+
+void order_controller::issue(const request_context& request, decision_context& context)
+{
+    const auto limit = m_configuration.current()->accounts.at(request.account).ticketLimit;
+    call_reply reply { .kind = reply_kind::Answered };
+    reply.ticket = m_book.issue(request.account, limit, drawNonce(m_nonces), context.now);
+    context.raised.emplace_back(request_ended { request, std::move(reply) });
+}
+
+void order_controller::place(const request_context& request, decision_context& context)
+{
+    m_book.begin(*request.call->ticket, fingerprintOf(*request.call));
+    join(request);
+    auto order = request;
+    order.id = m_ids.next();
+    order.forwardedBy.reset();
+    order.order = request.call->ticket;
+    order.route = request_route::Queue;
+    context.raised.emplace_back(request_admitted { std::move(order) });
+}
+
+void order_controller::join(const request_context& request)
+{
+    m_book.addWaiter(*request.call->ticket, request.id);
+    wait(request);
+}
+
+void order_controller::forward(const request_context& request, decision_context& context)
+{
+    order_forward message { request.id, *request.call->ticket, *request.call };
+    message.call.deadline = request.deadline;
+    context.commands.send(peer_command { send_to_peer { message.ticket.holder, std::move(message) } });
+    wait(request);
+}
+
+void order_controller::endOrder(const request_ended& ended, decision_context& context)
+{
+    const auto reply = ended.reply.value_or(unknownOutcome({ failure_kind::EndpointBroke }));
+    for (const auto waiter : m_book.end(*ended.context.order, reply, context.now))
+        finish(waiter, reply, context);
+}
+
+void order_controller::leave(request_id id, std::optional<call_reply> reply, decision_context& context)
+{
+    const auto pending = m_pending.find(id);
+    if (pending == m_pending.end())
+        return;
+    const auto& request = pending->second.context;
+    if (request.route != request_route::Forward)
+        m_book.removeWaiter(*request.call->ticket, id);
+    finish(id, std::move(reply), context);
+}
+
+void order_controller::receive(const peer_received& received, decision_context& context)
+{
+    const auto* outcome = std::get_if<order_outcome>(&received.message);
+    if (!outcome)
+        return;
+    const auto pending = m_pending.find(outcome->id);
+    if (pending == m_pending.end())
+        return;
+    const auto& request = pending->second.context;
+    // Only the holder's word counts for an order.
+    if (request.route == request_route::Forward && request.call->ticket->holder == received.from)
+        finish(outcome->id, outcome->reply, context);
+}
+
+void order_controller::failForwards(const entry_vm_id& holder, const std::function<bool(const order_ticket&)>& isLost,
+    failure_kind why, decision_context& context)
+{
+    std::vector<request_id> lost;
+    for (const auto& [id, pending] : m_pending) {
+        const auto& ticket = *pending.context.call->ticket;
+        if (pending.context.route == request_route::Forward && ticket.holder == holder && isLost(ticket))
+            lost.push_back(id);
+    }
+    for (const auto id : lost)
+        finish(id, unknownOutcome({ why, holder.value }), context);
+}
+
+void order_controller::wait(const request_context& request)
+{
+    const auto answerBy = request.deadline == never ? never : request.deadline + outcomeGrace;
+    m_pending.emplace(request.id, pending_request { withoutBody(request), answerBy });
+    m_answerTimes.emplace(answerBy, request.id);
+}
+
+void order_controller::finish(request_id id, std::optional<call_reply> reply, decision_context& context)
+{
+    auto node = m_pending.extract(id);
+    KUMQUATBEAM_INVARIANT(!node.empty());
+    m_answerTimes.erase({ node.mapped().answerBy, id });
+    auto request = std::move(node.mapped().context);
+    if (reply && reply->problem)
+        context.log.refused({ id, request.account, request.call->pool, name(), *reply->problem });
+    context.raised.emplace_back(request_ended { std::move(request), std::move(reply) });
+}
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/reply_controller.cpp
+++ b/src/kumquatbeam/controllers/reply_controller.cpp
@@ -1,18 +1,30 @@
 #include "kumquatbeam/controllers/reply_controller.hpp"
 
+#include "kumquatbeam/filters/request_filter.hpp"
+
+#include <utility>
+
 namespace kumquatbeam {
 
 void reply_controller::handle(const decision_event& event, decision_context& context)
 {
     const auto* ended = std::get_if<request_ended>(&event);
-    if (!ended || !ended->reply)
+    // An order has no caller of its own: its reply goes to the requests that wait for it.
+    if (!ended || !ended->reply || ended->context.order)
+        return;
+    deliver(ended->context, *ended->reply, context);
+}
+
+void reply_controller::deliver(const request_context& request, call_reply reply, decision_context& context)
+{
+    if (!request.forwardedBy) {
+        context.commands.send(caller_command { reply_to_caller { request.id, std::move(reply) } });
         return;
-    const auto& request = ended->context;
-    if (request.forwardedBy)
-        context.commands.send(
-            peer_command { send_to_peer { *request.forwardedBy, order_outcome { request.id, *ended->reply } } });
-    else
-        context.commands.send(caller_command { reply_to_caller { request.id, *ended->reply } });
+    }
+    if (reply.body.size() > forwardedBodyLimit)
+        reply = unknownOutcome({ failure_kind::AnswerTooLarge, "body", std::to_string(reply.body.size()) });
+    const auto& origin = *request.forwardedBy;
+    context.commands.send(peer_command { send_to_peer { origin.peer, order_outcome { origin.id, std::move(reply) } } });
 }
 
 } // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/decisions/order_book.cpp
@@ -0,0 +1,207 @@
+#include "kumquatbeam/decisions/order_book.hpp"
+
+#include "kumquatbeam/types/invariant.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <functional>
+
+namespace kumquatbeam {
+
+namespace {
+
+    /// What a stored reply is charged beside its texts.
+    constexpr std::size_t replyOverhead = sizeof(call_reply);
+
+    byte_count sizeOf(const call_reply& reply)
+    {
+        std::size_t size = replyOverhead + reply.contentType.size() + reply.body.size();
+        if (reply.problem)
+            size += reply.problem->place.size() + reply.problem->found.size() + reply.problem->allowed.size();
+        return { size };
+    }
+
+} // namespace
+
+order_fingerprint fingerprintOf(const call_request& call)
+{
+    // Lengths go first, so that no two calls share a text.
+    const auto text = absl::StrCat(call.pool.value.size(), ":", call.target.size(), ":", call.contentType.size(), ":",
+        call.pool.value, call.target, call.contentType, call.body);
+    return { std::hash<std::string> {}(text) };
+}
+
+order_book::order_book(entry_vm_id holder, incarnation life, order_book_limits limits)
+    : m_holder(std::move(holder))
+    , m_life(life)
+    , m_limits(limits)
+{
+}
+
+bool order_book::isHolderOf(const order_ticket& ticket) const
+{
+    return ticket.holder == m_holder && ticket.life == m_life;
+}
+
+bool order_book::hasRoomFor(const client_account_id& account, std::int64_t ticketLimit) const
+{
+    const auto found = m_accounts.find(account);
+    if (found == m_accounts.end())
+        return m_orders.size() < m_limits.orders;
+    if (!found->second.ended.empty())
+        return true;
+    return m_orders.size() < m_limits.orders && found->second.count < static_cast<std::size_t>(ticketLimit);
+}
+
+order_ticket order_book::issue(
+    const client_account_id& account, std::int64_t ticketLimit, std::uint64_t nonce, time_point now)
+{
+    KUMQUATBEAM_INVARIANT(hasRoomFor(account, ticketLimit));
+    const bool isFull
+        = m_orders.size() >= m_limits.orders || m_accounts[account].count >= static_cast<std::size_t>(ticketLimit);
+    if (isFull)
+        forgetOldestEnded(account);
+    const auto number = ++m_lastNumber;
+    const order_ticket ticket { m_holder, m_life, number, nonce };
+    order_record record { .ticket = ticket, .account = account, .placeBefore = now + ticketLifetime };
+    auto& stored = m_orders.emplace(number, std::move(record)).first->second;
+    ++m_accounts[account].count;
+    keepUntil(stored, stored.placeBefore);
+    return ticket;
+}
+
+const order_record* order_book::find(const order_ticket& ticket, time_point now) const
+{
+    const auto found = m_orders.find(ticket.sequence);
+    if (found == m_orders.end() || found->second.ticket != ticket || found->second.keptUntil <= now)
+        return nullptr;
+    return &found->second;
+}
+
+void order_book::begin(const order_ticket& ticket, order_fingerprint fingerprint)
+{
+    auto& record = at(ticket);
+    KUMQUATBEAM_INVARIANT(record.state == order_state::Issued);
+    record.state = order_state::InProgress;
+    record.fingerprint = fingerprint;
+    keepUntil(record, never);
+}
+
+void order_book::addWaiter(const order_ticket& ticket, request_id waiter)
+{
+    auto& record = at(ticket);
+    KUMQUATBEAM_INVARIANT(record.state == order_state::InProgress && hasRoomForWaiter(record));
+    record.waiters.push_back(waiter);
+}
+
+void order_book::removeWaiter(const order_ticket& ticket, request_id waiter)
+{
+    std::erase(at(ticket).waiters, waiter);
+}
+
+std::vector<request_id> order_book::end(const order_ticket& ticket, const call_reply& reply, time_point now)
+{
+    auto& record = at(ticket);
+    KUMQUATBEAM_INVARIANT(record.state == order_state::InProgress);
+    auto waiters = std::exchange(record.waiters, {});
+    store(record, reply, now);
+    return waiters;
+}
+
+bool order_book::close(const order_ticket& ticket, const client_account_id& account, order_fingerprint fingerprint,
+    const call_reply& reply, time_point now)
+{
+    const auto* known = find(ticket, now);
+    if (!known || known->account != account)
+        return false;
+    if (known->state == order_state::Ended)
+        return known->reply.kind == reply_kind::NotRun;
+    if (known->state != order_state::Issued)
+        return false;
+    auto& record = at(ticket);
+    record.fingerprint = fingerprint;
+    store(record, reply, now);
+    return true;
+}
+
+time_point order_book::nextDeadline() const
+{
+    return m_expiries.empty() ? never : m_expiries.begin()->first;
+}
+
+void order_book::expire(time_point now)
+{
+    while (nextDeadline() <= now)
+        forget(m_expiries.begin()->second);
+}
+
+order_record& order_book::at(const order_ticket& ticket)
+{
+    const auto found = m_orders.find(ticket.sequence);
+    KUMQUATBEAM_INVARIANT(found != m_orders.end() && found->second.ticket == ticket);
+    return found->second;
+}
+
+void order_book::keepUntil(order_record& record, time_point deadline)
+{
+    m_expiries.erase({ record.keptUntil, record.ticket.sequence });
+    record.keptUntil = deadline;
+    if (deadline != never)
+        m_expiries.emplace(deadline, record.ticket.sequence);
+}
+
+void order_book::store(order_record& record, const call_reply& reply, time_point now)
+{
+    const auto account = record.account;
+    record.state = order_state::Ended;
+    record.reply = reply;
+    keepUntil(record, std::max(now + replyRetention, record.placeBefore));
+    auto& orders = m_accounts[account];
+    orders.ended.emplace(record.keptUntil, record.ticket.sequence);
+    orders.storedBytes += sizeOf(reply);
+    m_storedBytes += sizeOf(reply);
+    makeRoomForReplies(account);
+}
+
+void order_book::makeRoomForReplies(const client_account_id& account)
+{
+    while (m_accounts[account].storedBytes > m_limits.accountReplies)
+        forgetOldestEnded(account);
+    while (m_storedBytes > m_limits.replies)
+        forgetOldestEnded(largestStore());
+}
+
+client_account_id order_book::largestStore() const
+{
+    const auto largest = std::max_element(m_accounts.begin(), m_accounts.end(),
+        [](const auto& left, const auto& right) { return left.second.storedBytes < right.second.storedBytes; });
+    KUMQUATBEAM_INVARIANT(largest != m_accounts.end());
+    return largest->first;
+}
+
+void order_book::forgetOldestEnded(const client_account_id& account)
+{
+    const auto& ended = m_accounts[account].ended;
+    KUMQUATBEAM_INVARIANT(!ended.empty());
+    forget(ended.begin()->second);
+}
+
+void order_book::forget(order_number number)
+{
+    const auto found = m_orders.find(number);
+    KUMQUATBEAM_INVARIANT(found != m_orders.end() && found->second.state != order_state::InProgress);
+    const auto& record = found->second;
+    const auto account = m_accounts.find(record.account);
+    if (record.state == order_state::Ended) {
+        account->second.ended.erase({ record.keptUntil, number });
+        account->second.storedBytes -= sizeOf(record.reply);
+        m_storedBytes -= sizeOf(record.reply);
+    }
+    m_expiries.erase({ record.keptUntil, number });
+    if (--account->second.count == 0)
+        m_accounts.erase(account);
+    m_orders.erase(found);
+}
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/duties/callers_duty.cpp
+++ b/src/kumquatbeam/duties/callers_duty.cpp
@@ -14,6 +14,7 @@
     : m_settings(settings)
     , m_links(links)
     , m_duty("callers", callersRing(settings))
+    , m_pauses(m_duty.context())
     , m_acceptor(m_duty.context())
 {
 }
@@ -26,6 +27,7 @@
 void callers_duty::start()
 {
     accept();
+    m_pauses.start();
     m_duty.start([this](caller_command command) { handle(std::move(command)); });
 }
 
--- a/src/kumquatbeam/duties/callers_duty.hpp
+++ b/src/kumquatbeam/duties/callers_duty.hpp
@@ -3,6 +3,7 @@
 #include "kumquatbeam/controllers/command.hpp"
 #include "kumquatbeam/duties/duty_links.hpp"
 #include "kumquatbeam/runtime/duty.hpp"
+#include "kumquatbeam/runtime/pause_watch.hpp"
 #include "kumquatbeam/sessions/caller_session.hpp"
 #include "kumquatbeam/settings/router_settings.hpp"
 
@@ -33,6 +34,7 @@
     void abandon(request_id) override;
     void acknowledgePiece(request_id) override;
     bool isReady() const override { return m_isReady; }
+    time_point earliestArrival() override { return m_pauses.earliestArrival(); }
     std::uint64_t bodyLimit() const override { return static_cast<std::uint64_t>(m_settings.bodyLimit); }
 
     void accept();
@@ -41,6 +43,7 @@
     const router_settings& m_settings;
     duty_links& m_links;
     duty<caller_command> m_duty;
+    pause_watch m_pauses;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::unordered_map<request_id, std::shared_ptr<caller_session>> m_inProgress;
     std::uint64_t m_lastRequest = 0;
--- a/src/kumquatbeam/duties/peers_duty.cpp
+++ b/src/kumquatbeam/duties/peers_duty.cpp
@@ -25,6 +25,7 @@
     , m_life(life)
     , m_links(links)
     , m_duty("peers", peersRing())
+    , m_pauses(m_duty.context())
     , m_acceptor(m_duty.context())
     , m_reconnect(m_duty.context())
 {
@@ -38,6 +39,7 @@
 void peers_duty::start()
 {
     accept();
+    m_pauses.start();
     m_duty.start([this](peer_command command) { handle(std::move(command)); });
 }
 
--- a/src/kumquatbeam/duties/peers_duty.hpp
+++ b/src/kumquatbeam/duties/peers_duty.hpp
@@ -3,6 +3,7 @@
 #include "kumquatbeam/controllers/command.hpp"
 #include "kumquatbeam/duties/duty_links.hpp"
 #include "kumquatbeam/runtime/duty.hpp"
+#include "kumquatbeam/runtime/pause_watch.hpp"
 #include "kumquatbeam/sessions/peer_session.hpp"
 #include "kumquatbeam/settings/router_settings.hpp"
 
@@ -33,6 +34,7 @@
     void lose(peer_session&, const absl::Status& why) override;
     void countSent(std::size_t bytes) override;
     void countReceived(std::size_t bytes) override;
+    time_point earliestArrival() override { return m_pauses.earliestArrival(); }
 
     void accept();
     void handle(peer_command);
@@ -45,6 +47,7 @@
     incarnation m_life;
     duty_links& m_links;
     duty<peer_command> m_duty;
+    pause_watch m_pauses;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_reconnect;
     std::map<entry_vm_id, entry_vm> m_members;
--- a/src/kumquatbeam/filters/drain_filter.cpp
+++ b/src/kumquatbeam/filters/drain_filter.cpp
@@ -4,9 +4,10 @@
 
 namespace kumquatbeam {
 
-std::optional<call_reply> drain_filter::apply(request_context&, time_point now) const
+std::optional<call_reply> drain_filter::apply(request_context& context, time_point now) const
 {
-    if (!m_drain.refusesRequests(now))
+    // An order in progress is part of what a shutdown waits for, and so are the callers that ask for its reply.
+    if (context.route == request_route::Join || !m_drain.refusesRequests(now))
         return std::nullopt;
     return notRun({ failure_kind::Draining });
 }
--- /dev/null
+++ b/src/kumquatbeam/filters/order_ticket_filter.cpp
@@ -0,0 +1,82 @@
+#include "kumquatbeam/filters/order_ticket_filter.hpp"
+
+#include "kumquatbeam/controllers/membership_controller.hpp"
+#include "kumquatbeam/controllers/order_controller.hpp"
+
+namespace kumquatbeam {
+
+namespace {
+
+    /// How much later a caller is told to come back when its account holds too many tickets.
+    constexpr std::chrono::seconds ticketsExhaustedRetryDelay { 1 };
+
+    constexpr char ticketPlace[] = "ticket";
+
+} // namespace
+
+std::optional<call_reply> order_ticket_filter::apply(request_context& context, time_point now) const
+{
+    const auto& call = *context.call;
+    if (call.isTicketRequest)
+        return routeTicketRequest(context, now);
+    if (context.isRepeatable)
+        return std::nullopt;
+    if (!call.ticket)
+        return notRun({ failure_kind::TicketRequired, call.pool.value });
+    if (m_orders.book().isHolderOf(*call.ticket))
+        return routeHere(context, now);
+    return routeToHolder(context);
+}
+
+std::optional<call_reply> order_ticket_filter::routeTicketRequest(request_context& context, time_point now) const
+{
+    context.route = request_route::Issue;
+    if (m_orders.hasRoomFor(context.account))
+        return std::nullopt;
+    auto reply = notRun({ failure_kind::TicketsExhausted, context.account.value });
+    reply.retryAt = now + ticketsExhaustedRetryDelay;
+    return reply;
+}
+
+std::optional<call_reply> order_ticket_filter::routeHere(request_context& context, time_point now) const
+{
+    const auto& call = *context.call;
+    const auto* order = m_orders.book().find(*call.ticket, now);
+    if (!order)
+        return unknownOutcome({ failure_kind::TicketUnknown, ticketPlace });
+    if (order->account != context.account)
+        return unknownOutcome({ failure_kind::TicketOfAnotherAccount, ticketPlace });
+    if (order->state == order_state::Issued) {
+        context.route = request_route::Place;
+        return std::nullopt;
+    }
+    if (order->fingerprint != fingerprintOf(call))
+        return unknownOutcome({ failure_kind::TicketReused, ticketPlace });
+    if (order->state == order_state::Ended)
+        return order->reply;
+    if (!m_orders.book().hasRoomForWaiter(*order))
+        return unknownOutcome({ failure_kind::OrderInProgress, ticketPlace });
+    context.route = request_route::Join;
+    return std::nullopt;
+}
+
+std::optional<call_reply> order_ticket_filter::routeToHolder(request_context& context) const
+{
+    const auto& call = *context.call;
+    const auto holder = m_membership.connectedPeers().find(call.ticket->holder);
+    const bool isReachable = holder != m_membership.connectedPeers().end();
+    const bool isOfEarlierLife = call.ticket->holder == m_orders.book().holder()
+        || (isReachable && holder->second.life != call.ticket->life);
+    // A forwarded request ends here whatever it says: routers that disagree must not pass it round.
+    if (context.forwardedBy || isOfEarlierLife)
+        return unknownOutcome({ failure_kind::TicketUnknown, ticketPlace });
+    if (!isReachable)
+        return unknownOutcome({ failure_kind::OwnerUnreachable, call.ticket->holder.value });
+    if (call.body.size() > forwardedBodyLimit)
+        return unknownOutcome({ failure_kind::RequestTooLarge, "body", std::to_string(call.body.size()),
+            "at most " + std::to_string(forwardedBodyLimit) + " bytes" });
+    context.route = request_route::Forward;
+    return std::nullopt;
+}
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/filters/pool_filter.cpp
+++ b/src/kumquatbeam/filters/pool_filter.cpp
@@ -10,7 +10,9 @@
     const auto pool = pools.find(context.call->pool);
     if (pool == pools.end())
         return notRun({ failure_kind::UnknownPool, "path", context.call->pool.value });
-    context.isRepeatable = pool->second.isRepeatable || context.call->effect == call_effect::Read;
+    // Only orders are forwarded. One stays an order here, also when the pool's setting has just changed.
+    context.isRepeatable
+        = !context.forwardedBy && (pool->second.isRepeatable || context.call->effect == call_effect::Read);
     return std::nullopt;
 }
 
--- a/src/kumquatbeam/filters/queue_limit_filter.cpp
+++ b/src/kumquatbeam/filters/queue_limit_filter.cpp
@@ -6,7 +6,8 @@
 
 std::optional<call_reply> queue_limit_filter::apply(request_context& context, time_point now) const
 {
-    if (m_placement.hasRoomFor(context.account, context.call->pool))
+    const bool isQueued = context.route == request_route::Queue || context.route == request_route::Place;
+    if (!isQueued || m_placement.hasRoomFor(context.account, context.call->pool))
         return std::nullopt;
     auto reply = notRun({ failure_kind::QueueFull, context.account.value });
     reply.retryAt = now + queueFullRetryDelay;
--- a/src/kumquatbeam/filters/request_context.hpp
+++ b/src/kumquatbeam/filters/request_context.hpp
@@ -13,18 +13,32 @@
 enum class request_route {
     /// Into the account's queue of this router.
     Queue,
-    /// To the router that holds the order.
-    Forward,
+    /// To the order book, which gives it a ticket.
+    Issue,
+    /// To the order book, which places it as an order.
+    Place,
     /// To the order that is already in progress here.
     Join,
+    /// To the router that holds the order.
+    Forward,
+};
+
+/// Where a forwarded request came from.
+struct forward_origin {
+    entry_vm_id peer;
+    /// The request's id in the peer, which the outcome echoes.
+    request_id id;
 };
 
 /// A request on its way through the filter chain; each filter fills what it decides.
 struct request_context {
     request_id id;
     std::shared_ptr<const call_request> call;
-    /// The peer that forwarded the request, or nothing for a caller of this router.
-    std::optional<entry_vm_id> forwardedBy {};
+    /// Which peer forwarded the request, or nothing for a caller of this router.
+    std::optional<forward_origin> forwardedBy {};
+    /// The order that this request runs, for a request that the order book placed. Its reply goes to the order's
+    /// waiters.
+    std::optional<order_ticket> order {};
     client_account_id account {};
     time_point deadline = never;
     /// Whether the call may be sent to an endpoint more than once.
--- a/src/kumquatbeam/load/load_call.cpp
+++ b/src/kumquatbeam/load/load_call.cpp
@@ -20,18 +20,27 @@
 
 } // namespace
 
-load_work workFor(const load_stream& stream, const std::string& callId, std::int64_t tokens)
+load_work modelWork(const load_stream& stream, const std::string& callId, std::int64_t tokens)
 {
-    if (stream.kind == "booking")
-        return { "/order", absl::StrCat("order=", callId, " ms=", stream.pace.count()),
-            absl::StrCat("order ", callId, " done\n") };
-    load_work work { "/generate", absl::StrCat("id=", callId, " tokens=", tokens, " ms=", stream.pace.count()), {} };
+    load_work work { absl::StrCat("/v1/call/", stream.pool.value, "/generate"),
+        absl::StrCat("id=", callId, " tokens=", tokens, " ms=", stream.pace.count()), {} };
     for (std::int64_t index = 0; index < tokens; ++index)
         absl::StrAppend(&work.expected, callId, ":", index, " ");
     absl::StrAppend(&work.expected, "end ", callId, " ", tokens, "\n");
     return work;
 }
 
+load_work orderWork(const load_stream& stream, const std::string& callId)
+{
+    return { absl::StrCat("/v1/call/", stream.pool.value, "/order"),
+        absl::StrCat("order=", callId, " ms=", stream.pace.count()), absl::StrCat("order ", callId, " done\n") };
+}
+
+load_work ticketWork(const load_stream& stream)
+{
+    return { absl::StrCat("/v1/tickets/", stream.pool.value), {}, {} };
+}
+
 load_call::load_call(boost::asio::io_context& context, const load_stream& plan, load_work work, completion whenComplete)
     : m_plan(plan)
     , m_work(std::move(work))
@@ -43,22 +52,27 @@
 
 void load_call::start(const boost::asio::ip::tcp::endpoint& router)
 {
-    m_stream.expires_after(m_plan.deadline + graceAfterDeadline);
+    if (m_work.leaveAfter.count() > 0)
+        m_stream.expires_after(m_work.leaveAfter);
+    else
+        m_stream.expires_after(m_plan.deadline + graceAfterDeadline);
     m_stream.async_connect(router, [self = shared_from_this()](beast::error_code error) { self->send(error); });
 }
 
 void load_call::send(beast::error_code error)
 {
     if (error) {
-        complete({});
+        fail(error);
         return;
     }
-    m_request = { http::verb::post, absl::StrCat("/v1/call/", m_plan.pool.value, m_work.target), http11 };
+    m_request = { http::verb::post, m_work.path, http11 };
     m_request.set(http::field::host, "router");
     m_request.set(http::field::authorization, "Bearer " + m_plan.credential);
     m_request.set(http::field::content_type, "text/plain");
     m_request.set(deadlineField, std::to_string(m_plan.deadline.count()));
     m_request.set(urgencyField, m_plan.urgencyName);
+    if (!m_work.ticket.empty())
+        m_request.set(ticketField, m_work.ticket);
     m_request.keep_alive(false);
     m_request.body() = m_work.body;
     m_request.prepare_payload();
@@ -69,7 +83,7 @@
 void load_call::readHead(beast::error_code error)
 {
     if (error) {
-        complete({});
+        fail(error);
         return;
     }
     m_parser.emplace();
@@ -80,7 +94,7 @@
 void load_call::readBody(beast::error_code error)
 {
     if (error) {
-        complete({});
+        fail(error);
         return;
     }
     m_firstByteAt = clock::now();
@@ -92,7 +106,14 @@
 {
     const auto& response = m_parser->get();
     const auto kind = response[outcomeField];
-    load_outcome outcome { .kind = std::string(kind.data(), kind.size()) };
+    const auto ticket = response[ticketField];
+    if (error == beast::error::timeout && m_work.leaveAfter.count() > 0) {
+        fail(error);
+        return;
+    }
+    load_outcome outcome { .kind = std::string(kind.data(), kind.size()),
+        .body = response.body(),
+        .ticket = std::string(ticket.data(), ticket.size()) };
     // A body that breaks off cannot be told to have run or not.
     if (error)
         outcome.kind = "unknown";
@@ -102,6 +123,12 @@
     complete(outcome);
 }
 
+void load_call::fail(beast::error_code error)
+{
+    const bool hasLeft = error == beast::error::timeout && m_work.leaveAfter.count() > 0;
+    complete({ .kind = hasLeft ? "left" : "" });
+}
+
 void load_call::complete(const load_outcome& outcome)
 {
     m_stream.close();
--- a/src/kumquatbeam/load/load_call.hpp
+++ b/src/kumquatbeam/load/load_call.hpp
@@ -20,13 +20,23 @@
 
 /// What one call asks for and what its whole answer is.
 struct load_work {
-    std::string target;
+    std::string path;
     std::string body;
     std::string expected;
+    /// The ticket that an order is placed under, as text.
+    std::string ticket {};
+    /// When the caller leaves without waiting for the reply; zero for never.
+    std::chrono::milliseconds leaveAfter { 0 };
 };
 
-/// The work of one call: `tokens` counts only for model streams.
-load_work workFor(const load_stream&, const std::string& callId, std::int64_t tokens);
+/// A call for a streamed answer of so many tokens.
+load_work modelWork(const load_stream&, const std::string& callId, std::int64_t tokens);
+
+/// A call that places an order.
+load_work orderWork(const load_stream&, const std::string& callId);
+
+/// A request for an order ticket.
+load_work ticketWork(const load_stream&);
 
 /// One call of a load run, as a caller makes it.
 class load_call : public std::enable_shared_from_this<load_call> {
@@ -42,6 +52,7 @@
     void readHead(boost::beast::error_code);
     void readBody(boost::beast::error_code);
     void conclude(boost::beast::error_code);
+    void fail(boost::beast::error_code);
     void complete(const load_outcome&);
 
     const load_stream& m_plan;
--- a/src/kumquatbeam/load/load_mix.cpp
+++ b/src/kumquatbeam/load/load_mix.cpp
@@ -10,6 +10,7 @@
 
     constexpr setting_range nameLength { 1, 64 };
     constexpr setting_range countRange { 0, 1'000'000 };
+    constexpr setting_range percentRange { 0, 100 };
     constexpr setting_range timeRange { 0, 3'600'000 };
 
     constexpr auto streamRows = std::to_array<setting_row<load_stream>>({
@@ -28,6 +29,13 @@
             { "tokens-high", "tokens", { 1, 100'000 }, false, "most tokens of an answer" }),
         settingRow<&load_stream::pace>({ "pace-ms", "ms", timeRange, false, "time for a token or an order" }),
         settingRow<&load_stream::deadline>({ "deadline-ms", "ms", timeRange, false, "deadline of each call" }),
+        settingRow<&load_stream::retries>({ "retries", "attempts", { 0, 100 }, false, "retries of an order" }),
+        settingRow<&load_stream::askAgainPercent>(
+            { "ask-again-percent", "percent", percentRange, false, "answered orders that are asked for again" }),
+        settingRow<&load_stream::leavePercent>(
+            { "leave-percent", "percent", percentRange, false, "attempts at orders that the caller leaves" }),
+        settingRow<&load_stream::leaveAfter>(
+            { "leave-after-ms", "ms", { 1, 3'600'000 }, false, "longest stay of a caller that leaves" }),
         settingRow<&load_stream::routers>({ "routers", "characters", { 0, 256 }, false, "places in the target list" }),
         settingRow<&load_stream::startsAfter>({ "starts-after-ms", "ms", timeRange, false, "start within the run" }),
         settingRow<&load_stream::endsAfter>({ "ends-after-ms", "ms", timeRange, false, "end within the run" }),
--- a/src/kumquatbeam/load/load_mix.hpp
+++ b/src/kumquatbeam/load/load_mix.hpp
@@ -28,6 +28,13 @@
     /// Time for a token, or for a whole order.
     std::chrono::milliseconds pace { 20 };
     std::chrono::milliseconds deadline { 30000 };
+    /// Booking: how often an order without an answer is tried again under its ticket, through another router.
+    std::int64_t retries = 0;
+    /// Booking: share of answered orders whose caller asks again and compares the two answers.
+    std::int64_t askAgainPercent = 0;
+    /// Booking: share of attempts that the caller leaves, and when at the latest.
+    std::int64_t leavePercent = 0;
+    std::chrono::milliseconds leaveAfter { 100 };
     /// Places of the routers in the target list that this stream calls, such as `0 2 3`; empty for all.
     std::string routers;
     /// When the stream starts and ends, counted from the start of the run; an end of zero means the end of the run.
--- /dev/null
+++ b/src/kumquatbeam/load/load_order.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "kumquatbeam/load/load_call.hpp"
+#include "kumquatbeam/load/load_mix.hpp"
+#include "kumquatbeam/load/load_tally.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace kumquatbeam {
+
+/// The routers of a run, and the places in that list which a stream calls.
+struct order_routers {
+    const std::vector<boost::asio::ip::tcp::endpoint>& all;
+    const std::vector<std::size_t>& places;
+};
+
+/// One order of a load run, as a careful caller places it: a ticket first, then the call under the ticket, and retries
+/// under the same ticket through other routers.
+class load_order : public std::enable_shared_from_this<load_order> {
+public:
+    using completion = std::function<void(const load_order&)>;
+
+    load_order(
+        boost::asio::io_context&, std::mt19937_64&, const load_stream&, order_routers, std::string id, completion);
+
+    void start() { askForTicket(); }
+
+    const load_order_result& result() const { return m_result; }
+
+    /// The order as a line of text: id, outcome, and each attempt as ROUTER:OUTCOME:BEGAN:ENDED.
+    std::string toLine() const;
+
+private:
+    struct attempt {
+        std::size_t router = 0;
+        std::string kind;
+        std::chrono::system_clock::time_point began;
+        std::chrono::system_clock::time_point ended;
+    };
+
+    void askForTicket();
+    void takeTicket(const load_outcome&);
+    void place();
+    void takeReply(std::size_t router, std::chrono::system_clock::time_point began, const load_outcome&);
+    void compare(const load_outcome&);
+    bool wantsAnotherReply(const load_outcome&);
+    void retry(void (load_order::*step)());
+    std::size_t chooseRouter();
+    bool drawPercent(std::int64_t percent);
+
+    boost::asio::io_context& m_context;
+    std::mt19937_64& m_random;
+    const load_stream& m_plan;
+    order_routers m_routers;
+    std::string m_id;
+    completion m_completion;
+    boost::asio::steady_timer m_pause;
+    std::string m_ticket;
+    std::int64_t m_ticketRequests = 0;
+    std::vector<attempt> m_attempts;
+    load_order_result m_result;
+};
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/load/load_run.cpp
+++ b/src/kumquatbeam/load/load_run.cpp
@@ -38,6 +38,8 @@
     : m_plan(std::move(plan))
     , m_random(m_plan.seed)
 {
+    if (!m_plan.ordersFile.empty())
+        m_orders.open(m_plan.ordersFile);
     const auto now = clock::now();
     for (auto& stream : streams) {
         auto routers = routersOf(stream, m_plan.routers.size());
@@ -92,27 +94,52 @@
 {
     if (clock::now() >= stream.endsAt)
         return;
+    const auto id = absl::StrCat(stream.plan.name, "-", m_plan.seed, "-", ++m_calls);
+    stream.tally.countSent();
+    if (stream.plan.kind == "booking")
+        placeOrder(stream, id, isClosedLoop);
+    else
+        callModel(stream, id, isClosedLoop);
+}
+
+void load_run::callModel(stream_state& stream, const std::string& id, bool isClosedLoop)
+{
     std::uniform_int_distribution<std::int64_t> tokens(
         stream.plan.tokensLow, std::max(stream.plan.tokensLow, stream.plan.tokensHigh));
     std::uniform_int_distribution<std::size_t> place(0, stream.routers.size() - 1);
     const auto& router = m_plan.routers[stream.routers[place(m_random)]];
-    const auto id = absl::StrCat(stream.plan.name, "-", m_plan.seed, "-", ++m_calls);
-    stream.tally.countSent();
     const auto whenComplete = [this, &stream, isClosedLoop](const load_outcome& outcome) {
         stream.tally.add(outcome);
-        if (!isClosedLoop)
-            return;
-        if (outcome.kind == "answered") {
-            call(stream, true);
-            return;
-        }
-        const auto pause = std::make_shared<boost::asio::steady_timer>(m_context, pauseAfterRefusal);
-        pause->async_wait([this, &stream, pause](const boost::system::error_code&) { call(stream, true); });
+        if (isClosedLoop)
+            callNext(stream, outcome);
     };
-    std::make_shared<load_call>(m_context, stream.plan, workFor(stream.plan, id, tokens(m_random)), whenComplete)
+    std::make_shared<load_call>(m_context, stream.plan, modelWork(stream.plan, id, tokens(m_random)), whenComplete)
         ->start(router);
 }
 
+void load_run::placeOrder(stream_state& stream, const std::string& id, bool isClosedLoop)
+{
+    const auto whenComplete = [this, &stream, isClosedLoop](const load_order& order) {
+        stream.tally.add(order.result());
+        if (m_orders.is_open())
+            m_orders << order.toLine() << std::endl;
+        if (isClosedLoop)
+            callNext(stream, order.result().outcome);
+    };
+    const order_routers routers { m_plan.routers, stream.routers };
+    std::make_shared<load_order>(m_context, m_random, stream.plan, routers, id, whenComplete)->start();
+}
+
+void load_run::callNext(stream_state& stream, const load_outcome& last)
+{
+    if (last.kind == "answered") {
+        call(stream, true);
+        return;
+    }
+    const auto pause = std::make_shared<boost::asio::steady_timer>(m_context, pauseAfterRefusal);
+    pause->async_wait([this, &stream, pause](const boost::system::error_code&) { call(stream, true); });
+}
+
 std::vector<boost::asio::ip::tcp::endpoint> parseTargets(const std::string& text)
 {
     std::vector<boost::asio::ip::tcp::endpoint> targets;
--- a/src/kumquatbeam/load/load_run.hpp
+++ b/src/kumquatbeam/load/load_run.hpp
@@ -2,6 +2,7 @@
 
 #include "kumquatbeam/load/load_call.hpp"
 #include "kumquatbeam/load/load_mix.hpp"
+#include "kumquatbeam/load/load_order.hpp"
 #include "kumquatbeam/load/load_tally.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -9,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <fstream>
 #include <list>
 #include <random>
 #include <string>
@@ -21,6 +23,8 @@
     std::vector<boost::asio::ip::tcp::endpoint> routers;
     std::chrono::seconds length { 10 };
     std::uint64_t seed = 1;
+    /// File that gets one line for each order; empty for none.
+    std::string ordersFile {};
 };
 
 /// Runs a mix against a fleet and tallies the replies.
@@ -44,10 +48,14 @@
     void startStream(stream_state&);
     void scheduleArrival(stream_state&);
     void call(stream_state&, bool isClosedLoop);
+    void callModel(stream_state&, const std::string& id, bool isClosedLoop);
+    void placeOrder(stream_state&, const std::string& id, bool isClosedLoop);
+    void callNext(stream_state&, const load_outcome& last);
 
     load_plan m_plan;
     boost::asio::io_context m_context;
     std::mt19937_64 m_random;
+    std::ofstream m_orders;
     std::list<stream_state> m_streams;
     std::uint64_t m_calls = 0;
 };
--- a/src/kumquatbeam/load/load_tally.cpp
+++ b/src/kumquatbeam/load/load_tally.cpp
@@ -39,11 +39,23 @@
         ++m_notRun;
     } else if (outcome.kind == "unknown") {
         ++m_unknown;
+    } else if (outcome.kind == "left") {
+        ++m_left;
     } else {
         ++m_noReply;
     }
 }
 
+void load_tally::add(const load_order_result& result)
+{
+    ++m_orders;
+    if (result.attempts > 1)
+        m_orderRetries += result.attempts - 1;
+    if (result.isContradictory)
+        ++m_contradictory;
+    add(result.outcome);
+}
+
 std::string load_tally::toJson(const std::string& stream, const std::string& account) const
 {
     nlohmann::ordered_json json {
@@ -55,6 +67,10 @@
         { "not_run", m_notRun },
         { "unknown", m_unknown },
         { "no_reply", m_noReply },
+        { "left", m_left },
+        { "orders", m_orders },
+        { "order_retries", m_orderRetries },
+        { "contradictory", m_contradictory },
         { "first_byte_p50_ms", accumulators::p_square_quantile(m_firstByteP50) },
         { "first_byte_p95_ms", accumulators::p_square_quantile(m_firstByteP95) },
         { "total_p95_ms", accumulators::p_square_quantile(m_totalP95) },
--- a/src/kumquatbeam/load/load_tally.hpp
+++ b/src/kumquatbeam/load/load_tally.hpp
@@ -15,14 +15,26 @@
 
 /// How one call of a load run ended.
 struct load_outcome {
-    /// `answered`, `not-run` or `unknown`; empty when no reply came at all.
+    /// `answered`, `not-run` or `unknown`; `left` when this caller broke off; empty when no reply came at all.
     std::string kind;
+    std::string body {};
+    /// The ticket that the reply gave, as text.
+    std::string ticket {};
     /// Whether an answered call's body is the one that the request asks for, to the last byte.
     bool isWhole = false;
     std::chrono::microseconds firstByte { 0 };
     std::chrono::microseconds total { 0 };
 };
 
+/// How one order of a load run ended, over all the attempts of its caller.
+struct load_order_result {
+    /// The outcome that says most; its kind is the order's.
+    load_outcome outcome {};
+    std::int64_t attempts = 0;
+    /// Whether two replies cannot both be true: two different answers, or an answer and "not run".
+    bool isContradictory = false;
+};
+
 /// What came of one stream's calls.
 class load_tally {
 public:
@@ -30,6 +42,7 @@
 
     void countSent() { ++m_sent; }
     void add(const load_outcome&);
+    void add(const load_order_result&);
 
     /// The tally as a JSON object.
     std::string toJson(const std::string& stream, const std::string& account) const;
@@ -44,6 +57,10 @@
     std::int64_t m_notRun = 0;
     std::int64_t m_unknown = 0;
     std::int64_t m_noReply = 0;
+    std::int64_t m_left = 0;
+    std::int64_t m_orders = 0;
+    std::int64_t m_orderRetries = 0;
+    std::int64_t m_contradictory = 0;
     quantile m_firstByteP50;
     quantile m_firstByteP95;
     quantile m_totalP95;
--- /dev/null
+++ b/src/kumquatbeam/runtime/pause_detector.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "kumquatbeam/types/time.hpp"
+
+#include <chrono>
+
+namespace kumquatbeam {
+
+/// How often a duty notes that it runs. Bounds the delay that goes unnoticed together with `shortestPause`.
+inline constexpr std::chrono::milliseconds pauseTickPeriod { 50 };
+
+/// A gap between two ticks that counts as a pause of the process.
+inline constexpr std::chrono::milliseconds shortestPause { 150 };
+
+/// Time after a pause in which what is read may still have lain in the socket's buffer during the pause.
+inline constexpr std::chrono::milliseconds pauseAftermath { 1000 };
+
+/// Knows how long ago bytes that are read now may have arrived. A process that was paused finds them in its sockets,
+/// and the times left that they state count from before the pause.
+class pause_detector {
+public:
+    explicit pause_detector(time_point now)
+        : m_lastTick(now)
+        , m_arrivedAfter(now)
+        , m_suspectUntil(time_point::min())
+    {
+    }
+
+    /// Notes that the duty runs.
+    void tick(time_point now)
+    {
+        noticePause(now);
+        m_lastTick = now;
+    }
+
+    /// The time after which bytes that are read now have arrived.
+    time_point earliestArrival(time_point now)
+    {
+        noticePause(now);
+        return now < m_suspectUntil ? m_arrivedAfter : now;
+    }
+
+private:
+    void noticePause(time_point now)
+    {
+        if (now - m_lastTick < shortestPause)
+            return;
+        const bool isFirst = m_lastTick >= m_suspectUntil;
+        if (isFirst)
+            m_arrivedAfter = m_lastTick;
+        m_suspectUntil = now + pauseAftermath;
+    }
+
+    time_point m_lastTick;
+    time_point m_arrivedAfter;
+    time_point m_suspectUntil;
+};
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/sessions/caller_session.cpp
+++ b/src/kumquatbeam/sessions/caller_session.cpp
@@ -130,14 +130,17 @@
             m_keepAlive);
         return;
     }
-    auto call = decodeCall(std::move(request), clock::now());
+    auto call = decodeCall(std::move(request), m_host.earliestArrival());
     if (!call.ok()) {
         writeReply(notRun(failureOf(call.status()).value_or(failure { failure_kind::MalformedRequest })), m_keepAlive);
         return;
     }
+    // Another delivery of the same order may be on its way, so a refusal here proves nothing about it.
+    const failure overload { failure_kind::RingFull };
+    const auto refusal = call->ticket ? unknownOutcome(overload) : notRun(overload);
     m_request = m_host.open(shared_from_this());
     if (!m_request || !m_host.submit(*m_request, std::move(*call))) {
-        writeReply(notRun({ failure_kind::RingFull }), m_keepAlive);
+        writeReply(refusal, m_keepAlive);
         return;
     }
     watchForLeaving();
--- a/src/kumquatbeam/sessions/caller_session.hpp
+++ b/src/kumquatbeam/sessions/caller_session.hpp
@@ -40,6 +40,9 @@
     virtual void acknowledgePiece(request_id) = 0;
 
     virtual bool isReady() const = 0;
+    /// The time after which bytes that are read now have arrived; the times left that they state count from it.
+    virtual time_point earliestArrival() = 0;
+
     virtual std::uint64_t bodyLimit() const = 0;
 };
 
--- a/src/kumquatbeam/sessions/peer_session.cpp
+++ b/src/kumquatbeam/sessions/peer_session.cpp
@@ -90,7 +90,12 @@
                 return;
             }
             self->m_host.countReceived(frameLengthSize + self->m_body.size());
-            auto message = decodeFrame(self->m_body, clock::now());
+            // After a long pause the peer has given up on what lies in the buffer.
+            if (clock::now() >= self->m_silence.expiry()) {
+                self->close(toStatus({ failure_kind::OwnerUnreachable, "peer", "silence" }));
+                return;
+            }
+            auto message = decodeFrame(self->m_body, self->m_host.earliestArrival());
             if (!message.ok()) {
                 self->close(message.status());
                 return;
--- a/src/kumquatbeam/sessions/peer_session.hpp
+++ b/src/kumquatbeam/sessions/peer_session.hpp
@@ -36,6 +36,9 @@
     /// Counts bytes of control traffic, without the headers of the layers below.
     virtual void countSent(std::size_t bytes) = 0;
     virtual void countReceived(std::size_t bytes) = 0;
+
+    /// The time after which bytes that are read now have arrived; the times left that they state count from it.
+    virtual time_point earliestArrival() = 0;
 };
 
 /// One connection to another daemon. Both sides greet first; then messages go both ways.
--- a/src/kumquatbeam/types/peer_message.hpp
+++ b/src/kumquatbeam/types/peer_message.hpp
@@ -5,6 +5,7 @@
 #include "kumquatbeam/types/units.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -39,6 +40,9 @@
     std::string text;
 };
 
+/// Largest body, in bytes, of a call or a reply that travels between routers. It leaves a frame room for the rest.
+inline constexpr std::size_t forwardedBodyLimit = 3 * 1024 * 1024;
+
 /// Hands an order to the router that its ticket names.
 struct order_forward {
     /// The sender's id for the request, echoed in the outcome.
--- /dev/null
+++ b/tests/scenarios/at_most_once.py
@@ -0,0 +1,296 @@
+"""Orders run at most once, and "not run" is true, while routers are killed and frozen, links are cut and held, services
+drop or delay their answers and callers leave. The truth is the service stand-in's own count of runs.
+
+The seed fixes the faults' kinds, targets and times and the load's choices; how they meet depends on the machine.
+"""
+
+import argparse
+import collections
+import json
+import random
+import sys
+import time
+from dataclasses import dataclass, field
+
+import fleet
+from checks import Checks
+
+DEADLINE_MS = 3000
+ORDERS_PER_SECOND = 100
+SETTLE_SECONDS = 5
+# A reply that was on its way when a router went down may be counted just outside of the time that was noted.
+WINDOW_SLACK_MS = 300
+
+
+def now_ms():
+    return time.time() * 1000
+
+
+@dataclass
+class Attempt:
+    """One attempt of a caller at its order, as the load program notes it."""
+
+    router: int
+    kind: str
+    began: int
+    ended: int
+
+
+@dataclass
+class Order:
+    """One order with its final outcome."""
+
+    name: str
+    kind: str
+    is_contradictory: bool
+    attempts: list = field(default_factory=list)
+
+    @staticmethod
+    def parse(line):
+        name, kind, *attempts = line.split()
+        fields = (text.split(":") for text in attempts)
+        return Order(name, kind.rstrip("!"), kind.endswith("!"),
+                     [Attempt(int(router), kind, int(began), int(ended)) for router, kind, began, ended in fields])
+
+
+class Faults:
+    """Breaks one thing after another, and mends each after a while."""
+
+    def __init__(self, running, seed):
+        self.running = running
+        self.random = random.Random(seed)
+        self.down_windows = collections.defaultdict(list)
+        self.counts = collections.Counter()
+        self.mending = []
+        self.down = set()
+
+    def run(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.mend(time.monotonic())
+            fault = self.random.choice([self.kill, self.freeze, self.cut_peers, self.hold_peers, self.cut_service,
+                                        self.hold_service, self.drop_answers, self.late_answers, self.refuse])
+            fault()
+            self.counts[fault.__name__] += 1
+            time.sleep(self.random.uniform(0.2, 0.6))
+        self.mend(float("inf"))
+
+    def mend(self, now):
+        due = [entry for entry in self.mending if entry[0] <= now]
+        self.mending = [entry for entry in self.mending if entry[0] > now]
+        for _, repair in due:
+            repair()
+
+    def later(self, low, high, repair):
+        self.mending.append((time.monotonic() + self.random.uniform(low, high), repair))
+
+    def pick_router(self):
+        """A router that is up; one stays up at all times."""
+        index = self.random.randrange(len(self.running.routers))
+        if index in self.down or len(self.down) >= len(self.running.routers) - 2:
+            return None
+        return index
+
+    def kill(self):
+        index = self.pick_router()
+        if index is None:
+            return
+        router, began = self.running.routers[index], now_ms()
+        self.down.add(index)
+        self.running.kill(router)
+
+        def restart():
+            self.running.start_router(router)
+            self.running.wait_ready(router)
+            self.down.discard(index)
+            self.down_windows[index].append((began, now_ms()))
+        self.later(0.2, 1.0, restart)
+
+    def freeze(self):
+        index = self.pick_router()
+        if index is None:
+            return
+        router, began = self.running.routers[index], now_ms()
+        self.down.add(index)
+        self.running.freeze(router)
+
+        def thaw():
+            self.running.thaw(router)
+            self.down.discard(index)
+            self.down_windows[index].append((began, now_ms()))
+        self.later(0.1, 4.5, thaw)
+
+    def on_link(self, source, target, mode, direction="both"):
+        self.running.relay(from_=source, to=target, mode=mode, direction=direction)
+        self.later(0.3, 4.0, lambda: self.running.relay(from_=source, to=target, mode="pass"))
+
+    def cut_peers(self):
+        one, other = self.random.sample(self.running.routers, 2)
+        self.on_link(one.address, other.relay_port, "cut")
+
+    def hold_peers(self):
+        one, other = self.random.sample(self.running.routers, 2)
+        self.on_link(one.address, other.relay_port, "hold", self.random.choice(["both", "up", "down"]))
+
+    def cut_service(self):
+        router, port = self.random.choice(self.running.routers), self.random.choice(self.running.service_listed)
+        self.on_link(router.address, port, "cut")
+
+    def hold_service(self):
+        router, port = self.random.choice(self.running.routers), self.random.choice(self.running.service_listed)
+        self.on_link(router.address, port, "hold", self.random.choice(["up", "down"]))
+
+    def on_service(self, low, high, change, mended):
+        index = self.random.randrange(len(self.running.service_ports))
+        self.running.service_control(index, **change)
+        self.later(low, high, lambda: self.running.service_control(index, **mended))
+
+    def drop_answers(self):
+        self.on_service(0.3, 1.0, {"drop_after_run": self.random.randint(1, 8)}, {"drop_after_run": 0})
+
+    def late_answers(self):
+        self.on_service(0.3, 1.5, {"late_ms": self.random.randint(200, 4000)}, {"late_ms": 0})
+
+    def refuse(self):
+        self.on_service(0.2, 0.8, {"refuse": "yes"}, {"refuse": "no"})
+
+    def explains(self, attempt):
+        """Whether the attempt's router was killed or frozen while the attempt lasted."""
+        return any(began - WINDOW_SLACK_MS <= attempt.ended and attempt.began <= ended + WINDOW_SLACK_MS
+                   for began, ended in self.down_windows[attempt.router])
+
+
+def runs_of(running):
+    return running.service_counts()[0]["runs"]
+
+
+def ask_for_ticket(running, router, account):
+    _, headers, _ = fleet.http("POST", router.url("/v1/tickets/booking"), b"",
+                               {"Authorization": f"Bearer {account.credential}"})
+    return headers["Kumquatbeam-Ticket"]
+
+
+def wait_connected(running, router, timeout=20):
+    """Waits until the router is connected with every other one."""
+    deadline = time.monotonic() + timeout
+    while time.monotonic() < deadline:
+        peers = running.status(router)["peers"]
+        if len(peers) == len(running.routers) - 1 and all(peer["connected"] for peer in peers):
+            return
+        time.sleep(0.1)
+    raise RuntimeError(f"{router.name} is not connected with its peers")
+
+
+def check_directed(running, checks):
+    """The cases that must hold one by one, before chance is let loose."""
+    holder, other, account = running.routers[0], running.routers[1], running.accounts[0]
+
+    def place(router, ticket, order, deadline_ms=DEADLINE_MS):
+        status, headers, body = running.call(router, account, "booking", "/order", f"order={order} ms=20",
+                                             Kumquatbeam_Ticket=ticket, Kumquatbeam_Deadline_Ms=str(deadline_ms))
+        return status, headers["Kumquatbeam-Outcome"], headers["Kumquatbeam-Failure"], body
+
+    status, headers, _ = running.call(holder, account, "booking", "/order", "order=none ms=20")
+    checks.equal("an order without a ticket is refused unrun",
+                 (status, headers["Kumquatbeam-Outcome"], headers["Kumquatbeam-Failure"]), (428, "not-run", "ticket-required"))
+    ticket = ask_for_ticket(running, holder, account)
+    checks.equal("an order is answered", place(holder, ticket, "d1"), (200, "answered", None, b"order d1 done\n"))
+    checks.equal("a retry through another router gets the same answer", place(other, ticket, "d1"),
+                 (200, "answered", None, b"order d1 done\n"))
+    checks.equal("another order under the same ticket is refused", place(other, ticket, "d2")[1:3], ("unknown", "ticket-reused"))
+
+    ticket = ask_for_ticket(running, holder, account)
+    running.freeze(holder)
+    checks.equal("an order whose holder is frozen is unknown", place(other, ticket, "d3", 1000)[1], "unknown")
+    time.sleep(1)
+    running.thaw(holder)
+    wait_connected(running, holder)
+    time.sleep(1)
+    checks.equal("a holder that wakes late sends nothing past the deadline", runs_of(running).get("d3", 0), 0)
+
+    ticket = ask_for_ticket(running, holder, account)
+    running.kill(holder)
+    checks.equal("an order whose holder is gone is unknown", place(other, ticket, "d4")[1], "unknown")
+    running.start_router(holder)
+    running.wait_ready(holder)
+    checks.equal("an order of the holder's earlier life is unknown", place(holder, ticket, "d4")[1:3],
+                 ("unknown", "ticket-unknown"))
+    runs = runs_of(running)
+    checks.equal("the directed orders ran as they should", {name: runs.get(name, 0) for name in ("none", "d1", "d2", "d3", "d4")},
+                 {"none": 0, "d1": 1, "d2": 0, "d3": 0, "d4": 0})
+
+
+def write_mix(running, accounts):
+    text = ""
+    for account in accounts:
+        text += (f"[stream {account.name}]\naccount={account.name}\ncredential={account.credential}\npool=booking\n"
+                 f"kind=booking\nper-minute={ORDERS_PER_SECOND * 60 // len(accounts)}\npace-ms=20\n"
+                 f"deadline-ms={DEADLINE_MS}\nretries=4\nask-again-percent=20\nleave-percent=15\nleave-after-ms=60\n\n")
+    path = running.folder / "mix.ini"
+    path.write_text(text)
+    return path
+
+
+def run_load(running, seconds, seed, faults):
+    """Runs the load beside the faults and returns its orders."""
+    orders = running.folder / "orders.txt"
+    routers = ",".join(f"{router.address}:{router.caller_port}" for router in running.routers)
+    load = running.spawn("load", [fleet.build_folder() / "apps" / "kumquatbeam-load", f"--routers={routers}",
+                                  f"--mix={write_mix(running, running.accounts[:4])}", f"--seconds={seconds}",
+                                  f"--seed={seed}", f"--orders={orders}"])
+    faults.run(seconds)
+    load.wait(120)
+    for line in running.log_of("load").splitlines():
+        print(line)
+    return [Order.parse(line) for line in orders.read_text().splitlines()]
+
+
+def check_orders(orders, runs, faults, checks):
+    kinds = collections.Counter(order.kind for order in orders)
+    attempts = [attempt for order in orders for attempt in order.attempts]
+    silent = [attempt for attempt in attempts if attempt.kind == "no-reply"]
+    explained = [attempt for attempt in silent if faults.explains(attempt)]
+    ran = lambda order: runs.get(order.name, 0)
+    print(f"orders {len(orders)}, by outcome {dict(kinds)}, attempts {len(attempts)}, by outcome "
+          f"{dict(collections.Counter(attempt.kind for attempt in attempts))}, runs {sum(runs.values())}")
+    print(f"faults {dict(faults.counts)}")
+    print(f"unknown orders: {sum(1 for order in orders if order.kind == 'unknown' and ran(order))} ran, "
+          f"{sum(1 for order in orders if order.kind == 'unknown' and not ran(order))} did not")
+    print(f"attempts without a reply: {len(silent)}, of which {len(explained)} at a router while it was killed or frozen")
+
+    checks.equal("no order ran twice", [(name, count) for name, count in runs.items() if count > 1], [])
+    checks.equal("no order that was reported not run has run",
+                 [order for order in orders if order.kind == "not-run" and ran(order)], [])
+    checks.equal("every answered order ran once",
+                 [order for order in orders if order.kind == "answered" and ran(order) != 1], [])
+    checks.equal("no two replies to an order contradict each other", [order for order in orders if order.is_contradictory], [])
+    checks.equal("every attempt got a reply, but for routers killed or frozen and callers that left",
+                 [attempt for attempt in silent if not faults.explains(attempt)], [])
+    checks.true("some orders were answered, some unknown, some not run",
+                all(kinds[kind] > 0 for kind in ("answered", "unknown", "not-run")), str(dict(kinds)))
+    checks.at_least("most orders were answered", kinds["answered"], len(orders) // 2)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=int, default=25)
+    parser.add_argument("--seed", type=int, default=random.SystemRandom().randrange(1_000_000))
+    options = parser.parse_args()
+    print(f"seed {options.seed}", flush=True)
+    checks = Checks("at most once")
+    with fleet.Fleet(routers=5, engines=0, services=3, service_slots=8, relay=True) as running:
+        for router in running.routers:
+            wait_connected(running, router)
+        check_directed(running, checks)
+        faults = Faults(running, options.seed)
+        orders = run_load(running, options.seconds, options.seed, faults)
+        time.sleep(SETTLE_SECONDS)
+        checks.at_least("enough orders were placed", len(orders), options.seconds * ORDERS_PER_SECOND // 2)
+        check_orders(orders, runs_of(running), faults, checks)
+        for line in running.log_of("load").splitlines():
+            checks.equal("no answer was wrong", json.loads(line)["wrong"], 0)
+    return checks.conclude()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/unit/order_book.tests.cpp
@@ -0,0 +1,187 @@
+#include "kumquatbeam/decisions/order_book.hpp"
+
+#include <doctest/doctest.h>
+
+namespace {
+
+using namespace kumquatbeam;
+
+const client_account_id large { "large" };
+const client_account_id small { "small" };
+constexpr std::int64_t manyTickets = 1000;
+constexpr order_fingerprint someOrder { 7 };
+const time_point start { std::chrono::hours(1) };
+
+order_book makeBook(order_book_limits limits = {})
+{
+    return { { "r1" }, { 11 }, limits };
+}
+
+call_reply answer(const std::string& body)
+{
+    call_reply reply { .kind = reply_kind::Answered };
+    reply.body = body;
+    return reply;
+}
+
+order_ticket issueAndEnd(order_book& book, const client_account_id& account, const std::string& body, time_point now)
+{
+    const auto ticket = book.issue(account, manyTickets, 1, now);
+    book.begin(ticket, someOrder);
+    book.end(ticket, answer(body), now);
+    return ticket;
+}
+
+} // namespace
+
+TEST_CASE("A ticket names its holder's incarnation and is found until its deadline [order_book]")
+{
+    auto book = makeBook();
+    const auto ticket = book.issue(large, manyTickets, 5, start);
+    CHECK(book.isHolderOf(ticket));
+    REQUIRE(book.find(ticket, start));
+    CHECK(book.find(ticket, start)->account == large);
+    CHECK_FALSE(book.find(ticket, start + ticketLifetime));
+
+    auto other = ticket;
+    other.life = { 12 };
+    CHECK_FALSE(book.isHolderOf(other));
+}
+
+TEST_CASE("A ticket with a guessed nonce is unknown [order_book]")
+{
+    auto book = makeBook();
+    auto ticket = book.issue(large, manyTickets, 5, start);
+    ticket.nonce = 6;
+    CHECK_FALSE(book.find(ticket, start));
+}
+
+TEST_CASE("Expired tickets are forgotten, and orders in progress are not [order_book]")
+{
+    auto book = makeBook();
+    const auto idle = book.issue(large, manyTickets, 1, start);
+    const auto running = book.issue(large, manyTickets, 2, start);
+    book.begin(running, someOrder);
+    CHECK(book.nextDeadline() == start + ticketLifetime);
+
+    book.expire(start + 10 * ticketLifetime);
+    CHECK_FALSE(book.find(idle, start));
+    CHECK(book.find(running, start + 10 * ticketLifetime));
+    CHECK(book.size() == 1);
+    CHECK(book.nextDeadline() == never);
+}
+
+TEST_CASE("An ended order hands out its waiters and keeps its reply for the stated time [order_book]")
+{
+    auto book = makeBook();
+    const auto ticket = book.issue(large, manyTickets, 1, start);
+    book.begin(ticket, someOrder);
+    book.addWaiter(ticket, { 1 });
+    book.addWaiter(ticket, { 2 });
+    book.removeWaiter(ticket, { 1 });
+
+    const auto late = start + 2 * ticketLifetime;
+    CHECK(book.end(ticket, answer("done"), late) == std::vector<request_id> { { 2 } });
+    REQUIRE(book.find(ticket, late));
+    CHECK(book.find(ticket, late)->reply.body == "done");
+    CHECK_FALSE(book.find(ticket, late + replyRetention));
+}
+
+TEST_CASE("Only an issued order of the same account is closed unrun, and it stays closed [order_book]")
+{
+    auto book = makeBook();
+    const call_reply refusal { .kind = reply_kind::NotRun };
+    const auto ticket = book.issue(large, manyTickets, 1, start);
+    CHECK_FALSE(book.close(ticket, small, someOrder, refusal, start));
+    CHECK(book.close(ticket, large, someOrder, refusal, start));
+    CHECK(book.close(ticket, large, someOrder, refusal, start));
+    CHECK(book.find(ticket, start)->state == order_state::Ended);
+
+    const auto running = book.issue(large, manyTickets, 1, start);
+    book.begin(running, someOrder);
+    CHECK_FALSE(book.close(running, large, someOrder, refusal, start));
+    book.end(running, answer("done"), start);
+    CHECK_FALSE(book.close(running, large, someOrder, refusal, start));
+}
+
+TEST_CASE("An account at its ticket limit gets room only from its own ended orders [order_book]")
+{
+    constexpr std::int64_t limit = 2;
+    auto book = makeBook();
+    const auto first = book.issue(large, limit, 1, start);
+    book.issue(large, limit, 2, start);
+    CHECK_FALSE(book.hasRoomFor(large, limit));
+    CHECK(book.hasRoomFor(small, limit));
+
+    book.begin(first, someOrder);
+    CHECK_FALSE(book.hasRoomFor(large, limit));
+    book.end(first, answer("done"), start);
+    REQUIRE(book.hasRoomFor(large, limit));
+    book.issue(large, limit, 3, start);
+    CHECK_FALSE(book.find(first, start));
+    CHECK(book.size() == 2);
+}
+
+TEST_CASE("The book as a whole holds no more orders than its limit [order_book]")
+{
+    order_book_limits limits;
+    limits.orders = 2;
+    auto book = makeBook(limits);
+    book.issue(large, manyTickets, 1, start);
+    book.issue(small, manyTickets, 2, start);
+    CHECK_FALSE(book.hasRoomFor(large, manyTickets));
+    CHECK_FALSE(book.hasRoomFor({ "other" }, manyTickets));
+}
+
+TEST_CASE("Stored replies stay within an account's bytes, the oldest goes first [order_book]")
+{
+    order_book_limits limits;
+    limits.accountReplies = { 4096 };
+    auto book = makeBook(limits);
+    const auto first = issueAndEnd(book, large, std::string(2000, 'a'), start);
+    const auto other = issueAndEnd(book, small, std::string(2000, 'b'), start);
+    const auto second = issueAndEnd(book, large, std::string(2000, 'c'), start + std::chrono::seconds(1));
+    CHECK_FALSE(book.find(first, start));
+    CHECK(book.find(second, start));
+    CHECK(book.find(other, start));
+}
+
+TEST_CASE("Stored replies of all accounts stay within the book's bytes, at the cost of the largest [order_book]")
+{
+    order_book_limits limits;
+    limits.replies = { 8000 };
+    auto book = makeBook(limits);
+    const auto modest = issueAndEnd(book, small, "short", start);
+    const auto first = issueAndEnd(book, large, std::string(4000, 'a'), start);
+    const auto second = issueAndEnd(book, large, std::string(4000, 'b'), start + std::chrono::seconds(1));
+    CHECK(book.find(modest, start));
+    CHECK_FALSE(book.find(first, start));
+    CHECK(book.find(second, start));
+    CHECK(book.storedBytes() <= limits.replies);
+}
+
+TEST_CASE("A reply too large to store is forgotten at once, and the ticket with it [order_book]")
+{
+    order_book_limits limits;
+    limits.accountReplies = { 100 };
+    auto book = makeBook(limits);
+    const auto ticket = issueAndEnd(book, large, std::string(1000, 'a'), start);
+    CHECK_FALSE(book.find(ticket, start));
+    CHECK(book.storedBytes() == byte_count { 0 });
+    CHECK(book.size() == 0);
+}
+
+TEST_CASE("Calls that differ in any part have different fingerprints [order_book]")
+{
+    call_request call { .credential = "x", .pool = { "booking" } };
+    call.target = "/order";
+    call.body = "one";
+    auto other = call;
+    CHECK(fingerprintOf(call) == fingerprintOf(other));
+    other.body = "two";
+    CHECK(fingerprintOf(call) != fingerprintOf(other));
+    other = call;
+    other.target = "/orde";
+    other.body = "rone";
+    CHECK(fingerprintOf(call) != fingerprintOf(other));
+}
--- /dev/null
+++ b/tests/unit/order_controller.tests.cpp
@@ -0,0 +1,295 @@
+#include "core_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace kumquatbeam;
+
+namespace {
+
+order_ticket ticketOfPeer(incarnation life = core_fixture::peerLife)
+{
+    return { { "r2" }, life, 1, 99 };
+}
+
+failure_kind problemOf(const std::optional<call_reply>& reply)
+{
+    return reply && reply->problem ? reply->problem->kind : failure_kind::None;
+}
+
+order_forward forwarded(const core_fixture& fixture, const order_ticket& ticket, std::uint64_t id = 5)
+{
+    return { { id }, ticket, fixture.orderCall(ticket) };
+}
+
+} // namespace
+
+TEST_CASE("A write call that may not be repeated needs a ticket, and a read does not [order_ticket]")
+{
+    core_fixture fixture;
+    auto call = fixture.orderCall({});
+    call.ticket.reset();
+    const auto write = fixture.arrive(call);
+    CHECK(fixture.replyTo(write)->kind == reply_kind::NotRun);
+    CHECK(problemOf(fixture.replyTo(write)) == failure_kind::TicketRequired);
+
+    call.effect = call_effect::Read;
+    fixture.arrive(call);
+    CHECK(fixture.attempts().size() == 1);
+}
+
+TEST_CASE("An order runs once, and a retry gets the stored reply [orders]")
+{
+    core_fixture fixture;
+    const auto ticket = fixture.ticket();
+    const auto first = fixture.arrive(fixture.orderCall(ticket));
+    REQUIRE(fixture.attempts().size() == 1);
+    fixture.endAttempt(attempt_outcome::Completed, "done");
+    CHECK(fixture.replyTo(first)->body == "done");
+
+    const auto retry = fixture.arrive(fixture.orderCall(ticket));
+    CHECK(fixture.replyTo(retry)->kind == reply_kind::Answered);
+    CHECK(fixture.replyTo(retry)->body == "done");
+    CHECK(fixture.attempts().size() == 1);
+}
+
+TEST_CASE("Retries join the order in progress up to a bound [orders]")
+{
+    core_fixture fixture;
+    const auto ticket = fixture.ticket();
+    std::vector<request_id> waiting;
+    for (std::size_t count = 0; count < order_book_limits {}.waiters; ++count)
+        waiting.push_back(fixture.arrive(fixture.orderCall(ticket)));
+    const auto tooMany = fixture.arrive(fixture.orderCall(ticket));
+    CHECK(fixture.replyTo(tooMany)->kind == reply_kind::Unknown);
+    CHECK(problemOf(fixture.replyTo(tooMany)) == failure_kind::OrderInProgress);
+
+    CHECK(fixture.attempts().size() == 1);
+    fixture.endAttempt(attempt_outcome::Completed, "done");
+    for (const auto id : waiting)
+        CHECK(fixture.replyTo(id)->body == "done");
+}
+
+TEST_CASE("An order goes on when its caller leaves, and its reply is kept [orders]")
+{
+    core_fixture fixture;
+    const auto ticket = fixture.ticket();
+    const auto first = fixture.arrive(fixture.orderCall(ticket));
+    fixture.handle(request_abandoned { first });
+    CHECK(core_fixture::all<cancel_attempt>(fixture.outlet.endpoints).empty());
+
+    fixture.endAttempt(attempt_outcome::Completed, "done");
+    CHECK_FALSE(fixture.replyTo(first).has_value());
+    const auto retry = fixture.arrive(fixture.orderCall(ticket));
+    CHECK(fixture.replyTo(retry)->body == "done");
+}
+
+TEST_CASE("An order whose answer broke off is unknown for good and never tried again [orders]")
+{
+    core_fixture fixture;
+    const auto ticket = fixture.ticket();
+    const auto first = fixture.arrive(fixture.orderCall(ticket));
+    fixture.endAttempt(attempt_outcome::Broken);
+    CHECK(fixture.replyTo(first)->kind == reply_kind::Unknown);
+    const auto retry = fixture.arrive(fixture.orderCall(ticket));
+    CHECK(fixture.replyTo(retry)->kind == reply_kind::Unknown);
+    CHECK(fixture.attempts().size() == 1);
+}
+
+TEST_CASE("An order that ended unrun stays unrun under its ticket [orders]")
+{
+    core_fixture fixture;
+    const auto ticket = fixture.ticket();
+    auto call = fixture.orderCall(ticket);
+    call.deadline = fixture.now;
+    const auto late = fixture.arrive(call);
+    CHECK(fixture.replyTo(late)->kind == reply_kind::NotRun);
+
+    const auto retry = fixture.arrive(fixture.orderCall(ticket));
+    CHECK(fixture.replyTo(retry)->kind == reply_kind::NotRun);
+    CHECK(fixture.attempts().empty());
+}
+
+TEST_CASE("A refused delivery of an order in progress says unknown, never not run [orders]")
+{
+    core_fixture fixture;
+    const auto ticket = fixture.ticket();
+    fixture.arrive(fixture.orderCall(ticket));
+    auto late = fixture.orderCall(ticket);
+    late.deadline = fixture.now;
+    const auto refused = fixture.arrive(late);
+    CHECK(fixture.replyTo(refused)->kind == reply_kind::Unknown);
+    CHECK(problemOf(fixture.replyTo(refused)) == failure_kind::DeadlinePassed);
+
+    auto stranger = fixture.orderCall(ticket);
+    stranger.credential = "nobody's";
+    const auto unauthorised = fixture.arrive(stranger);
+    CHECK(fixture.replyTo(unauthorised)->kind == reply_kind::Unknown);
+}
+
+TEST_CASE("A ticket carries one order of one account [orders]")
+{
+    core_fixture fixture;
+    const auto ticket = fixture.ticket();
+    const auto other = fixture.arrive(fixture.orderCall(ticket, "small"));
+    CHECK(problemOf(fixture.replyTo(other)) == failure_kind::TicketOfAnotherAccount);
+
+    fixture.arrive(fixture.orderCall(ticket));
+    auto changed = fixture.orderCall(ticket);
+    changed.body = "order=2";
+    const auto reused = fixture.arrive(changed);
+    CHECK(problemOf(fixture.replyTo(reused)) == failure_kind::TicketReused);
+    CHECK(fixture.replyTo(reused)->kind == reply_kind::Unknown);
+    CHECK(fixture.attempts().size() == 1);
+}
+
+TEST_CASE("A ticket past its deadline places nothing [orders]")
+{
+    core_fixture fixture;
+    const auto ticket = fixture.ticket();
+    fixture.pass(ticketLifetime);
+    const auto late = fixture.arrive(fixture.orderCall(ticket));
+    CHECK(fixture.replyTo(late)->kind == reply_kind::Unknown);
+    CHECK(problemOf(fixture.replyTo(late)) == failure_kind::TicketUnknown);
+    CHECK(fixture.attempts().empty());
+}
+
+TEST_CASE("An account that holds too many open tickets gets no more [orders]")
+{
+    core_fixture fixture("ticket-limit=2\n");
+    fixture.ticket();
+    fixture.ticket();
+    const auto refused = fixture.askForTicket();
+    CHECK(refused.kind == reply_kind::NotRun);
+    CHECK(refused.problem->kind == failure_kind::TicketsExhausted);
+    CHECK(refused.retryAt.has_value());
+    CHECK(fixture.askForTicket("small").ticket.has_value());
+}
+
+TEST_CASE("A waiting request is answered soon after its own deadline [orders]")
+{
+    core_fixture fixture;
+    const auto ticket = fixture.ticket();
+    const auto first = fixture.arrive(fixture.orderCall(ticket));
+    auto hasty = fixture.orderCall(ticket);
+    hasty.deadline = fixture.now + std::chrono::seconds(1);
+    const auto joined = fixture.arrive(hasty);
+    fixture.pass(std::chrono::seconds(2));
+    CHECK(fixture.replyTo(joined)->kind == reply_kind::Unknown);
+    CHECK_FALSE(fixture.replyTo(first).has_value());
+    fixture.endAttempt(attempt_outcome::Completed, "done");
+    CHECK(fixture.replyTo(first)->body == "done");
+}
+
+TEST_CASE("An order goes to the router that its ticket names, and that router's reply to the caller [forward]")
+{
+    core_fixture fixture;
+    fixture.connectPeer("r2");
+    const auto id = fixture.arrive(fixture.orderCall(ticketOfPeer()));
+    const auto sent = fixture.sentToPeers<order_forward>();
+    REQUIRE(sent.size() == 1);
+    CHECK(sent.front().first == entry_vm_id { "r2" });
+    CHECK(sent.front().second.call.deadline.has_value());
+    CHECK(fixture.attempts().empty());
+
+    const call_reply reply { .kind = reply_kind::NotRun, .problem = failure { failure_kind::QueueFull } };
+    fixture.handle(peer_received { { "r3" }, order_outcome { id, reply } });
+    CHECK_FALSE(fixture.replyTo(id).has_value());
+    fixture.handle(peer_received { { "r2" }, order_outcome { id, reply } });
+    CHECK(fixture.replyTo(id)->kind == reply_kind::NotRun);
+}
+
+TEST_CASE("An order whose holder is unknown, restarted, lost or silent is unknown, never not run [forward]")
+{
+    core_fixture fixture;
+    const auto unreachable = fixture.arrive(fixture.orderCall(ticketOfPeer()));
+    CHECK(fixture.replyTo(unreachable)->kind == reply_kind::Unknown);
+    CHECK(problemOf(fixture.replyTo(unreachable)) == failure_kind::OwnerUnreachable);
+
+    fixture.connectPeer("r2");
+    const auto restarted = fixture.arrive(fixture.orderCall(ticketOfPeer({ 23 })));
+    CHECK(fixture.replyTo(restarted)->kind == reply_kind::Unknown);
+    CHECK(problemOf(fixture.replyTo(restarted)) == failure_kind::TicketUnknown);
+
+    const auto silent = fixture.arrive(fixture.orderCall(ticketOfPeer()));
+    fixture.pass(std::chrono::seconds(11));
+    CHECK(fixture.replyTo(silent)->kind == reply_kind::Unknown);
+
+    const auto lost = fixture.arrive(fixture.orderCall(ticketOfPeer()));
+    fixture.handle(peer_lost { { "r2" } });
+    CHECK(fixture.replyTo(lost)->kind == reply_kind::Unknown);
+
+    fixture.connectPeer("r2");
+    const auto replaced = fixture.arrive(fixture.orderCall(ticketOfPeer()));
+    fixture.connectPeer("r2", { 24 });
+    CHECK(fixture.replyTo(replaced)->kind == reply_kind::Unknown);
+}
+
+TEST_CASE("A ticket of this router's earlier life is unknown [forward]")
+{
+    core_fixture fixture;
+    auto ticket = fixture.ticket();
+    ticket.life = { 10 };
+    const auto id = fixture.arrive(fixture.orderCall(ticket));
+    CHECK(fixture.replyTo(id)->kind == reply_kind::Unknown);
+    CHECK(problemOf(fixture.replyTo(id)) == failure_kind::TicketUnknown);
+}
+
+TEST_CASE("A forwarded order runs here once, and its outcome goes back under the sender's id [forward]")
+{
+    core_fixture fixture;
+    fixture.connectPeer("r2");
+    const auto ticket = fixture.ticket();
+    const auto local = fixture.arrive(fixture.orderCall(ticket));
+    fixture.handle(peer_received { { "r2" }, forwarded(fixture, ticket, local.value) });
+    REQUIRE(fixture.attempts().size() == 1);
+    fixture.endAttempt(attempt_outcome::Completed, "done");
+
+    const auto outcomes = fixture.sentToPeers<order_outcome>();
+    REQUIRE(outcomes.size() == 1);
+    CHECK(outcomes.front().first == entry_vm_id { "r2" });
+    CHECK(outcomes.front().second.id == local);
+    CHECK(outcomes.front().second.reply.body == "done");
+    CHECK(fixture.replyTo(local)->body == "done");
+}
+
+TEST_CASE("A forwarded order goes through the same chain and no further [forward]")
+{
+    core_fixture fixture;
+    fixture.connectPeer("r2");
+    auto stranger = forwarded(fixture, fixture.ticket());
+    stranger.call.credential = "nobody's";
+    fixture.handle(peer_received { { "r2" }, stranger });
+    auto elsewhere = forwarded(fixture, ticketOfPeer());
+    fixture.handle(peer_received { { "r2" }, elsewhere });
+
+    const auto outcomes = fixture.sentToPeers<order_outcome>();
+    REQUIRE(outcomes.size() == 2);
+    CHECK(problemOf(outcomes[0].second.reply) == failure_kind::UnknownAccount);
+    CHECK(outcomes[0].second.reply.kind == reply_kind::Unknown);
+    CHECK(problemOf(outcomes[1].second.reply) == failure_kind::TicketUnknown);
+    CHECK(fixture.sentToPeers<order_forward>().empty());
+    CHECK(fixture.attempts().empty());
+}
+
+TEST_CASE("A draining holder still answers for the orders it has, and closes the others unrun [forward]")
+{
+    core_fixture fixture;
+    fixture.connectPeer("r2");
+    const auto running = fixture.ticket();
+    const auto unused = fixture.ticket();
+    fixture.arrive(fixture.orderCall(running));
+    fixture.handle(shutdown_requested {});
+    fixture.pass(std::chrono::seconds(2));
+
+    fixture.handle(peer_received { { "r2" }, forwarded(fixture, running, 1) });
+    fixture.handle(peer_received { { "r2" }, forwarded(fixture, unused, 2) });
+    auto outcomes = fixture.sentToPeers<order_outcome>();
+    REQUIRE(outcomes.size() == 1);
+    CHECK(outcomes[0].second.id == request_id { 2 });
+    CHECK(outcomes[0].second.reply.kind == reply_kind::NotRun);
+
+    fixture.endAttempt(attempt_outcome::Completed, "done");
+    outcomes = fixture.sentToPeers<order_outcome>();
+    REQUIRE(outcomes.size() == 2);
+    CHECK(outcomes[1].second.reply.body == "done");
+}
