--- a/src/kumquatbeam/decisions/order_book.cpp
+++ b/src/kumquatbeam/decisions/order_book.cpp
@@ -63,7 +63,7 @@
     if (isFull)
         forgetOldestEnded(account);
     const auto number = ++m_lastNumber;
-    const order_ticket ticket { m_holder, m_life, number, nonce };
+    order_ticket ticket { m_holder, m_life, number, nonce };
     order_record record { .ticket = ticket, .account = account, .placeBefore = now + ticketLifetime };
     auto& stored = m_orders.emplace(number, std::move(record)).first->second;
     ++m_accounts[account].count;
--- a/src/kumquatbeam/sessions/endpoint_session.cpp
+++ b/src/kumquatbeam/sessions/endpoint_session.cpp
@@ -81,6 +81,11 @@
         finishBroken(failureAfter(error));
         return;
     }
+    readHead();
+}
+
+void endpoint_session::readHead()
+{
     m_parser.emplace();
     // An answer is bounded piece by piece, not as a whole. Boost 1.74 takes an unset limit for zero.
     m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -97,6 +102,11 @@
         return;
     }
     const auto& head = m_parser->get();
+    if (head.result_int() < firstFinalStatus) {
+        // An interim answer says nothing about the call; the final one follows.
+        readHead();
+        return;
+    }
     if (head.result() == http::status::service_unavailable && head.count(notRunField) > 0) {
         finish(attempt_outcome::Refused, failure { failure_kind::EndpointRefused, m_attempt.to.endpoint.value });
         return;
--- a/src/kumquatbeam/sessions/endpoint_session.hpp
+++ b/src/kumquatbeam/sessions/endpoint_session.hpp
@@ -44,9 +44,11 @@
 
 private:
     static constexpr std::size_t pieceSize = 16 * 1024;
+    static constexpr unsigned firstFinalStatus = 200;
 
     void onConnected(boost::beast::error_code);
     void onSent(boost::beast::error_code);
+    void readHead();
     void onHead(boost::beast::error_code);
     void readPiece();
     void onPiece(boost::beast::error_code, std::size_t);
--- a/tests/scenarios/at_most_once.py
+++ b/tests/scenarios/at_most_once.py
@@ -1,5 +1,5 @@
-"""Orders run at most once, and "not run" is true, while routers are killed and frozen, links are cut and held, services
-drop or delay their answers and callers leave. The truth is the service stand-in's own count of runs.
+"""Orders run at most once, and "not run" is true, while routers are killed, frozen and shut down, links are cut and held,
+services drop or delay their answers and callers leave. The truth is the service stand-in's own count of runs.
 
 The seed fixes the faults' kinds, targets and times and the load's choices; how they meet depends on the machine.
 """
@@ -63,12 +63,13 @@
         self.counts = collections.Counter()
         self.mending = []
         self.down = set()
+        self.exit_codes = []
 
     def run(self, seconds):
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             self.mend(time.monotonic())
-            fault = self.random.choice([self.kill, self.freeze, self.cut_peers, self.hold_peers, self.cut_service,
+            fault = self.random.choice([self.kill, self.freeze, self.shut_down, self.cut_peers, self.hold_peers, self.cut_service,
                                         self.hold_service, self.drop_answers, self.late_answers, self.refuse])
             fault()
             self.counts[fault.__name__] += 1
@@ -120,6 +121,22 @@
             self.down_windows[index].append((began, now_ms()))
         self.later(0.1, 4.5, thaw)
 
+    def shut_down(self):
+        index = self.pick_router()
+        if index is None:
+            return
+        router, began = self.running.routers[index], now_ms()
+        self.down.add(index)
+        self.running.terminate(router)
+
+        def restart():
+            self.exit_codes.append(router.process.wait(30))
+            self.running.start_router(router)
+            self.running.wait_ready(router)
+            self.down.discard(index)
+            self.down_windows[index].append((began, now_ms()))
+        self.later(1.0, 3.0, restart)
+
     def on_link(self, source, target, mode, direction="both"):
         self.running.relay(from_=source, to=target, mode=mode, direction=direction)
         self.later(0.3, 4.0, lambda: self.running.relay(from_=source, to=target, mode="pass"))
@@ -155,7 +172,7 @@
         self.on_service(0.2, 0.8, {"refuse": "yes"}, {"refuse": "no"})
 
     def explains(self, attempt):
-        """Whether the attempt's router was killed or frozen while the attempt lasted."""
+        """Whether the attempt's router was killed, frozen or shut down while the attempt lasted."""
         return any(began - WINDOW_SLACK_MS <= attempt.ended and attempt.began <= ended + WINDOW_SLACK_MS
                    for began, ended in self.down_windows[attempt.router])
 
@@ -256,7 +273,8 @@
     print(f"faults {dict(faults.counts)}")
     print(f"unknown orders: {sum(1 for order in orders if order.kind == 'unknown' and ran(order))} ran, "
           f"{sum(1 for order in orders if order.kind == 'unknown' and not ran(order))} did not")
-    print(f"attempts without a reply: {len(silent)}, of which {len(explained)} at a router while it was killed or frozen")
+    print(f"attempts without a reply: {len(silent)}, of which {len(explained)} at a router while it was killed, frozen "
+          "or shut down")
 
     checks.equal("no order ran twice", [(name, count) for name, count in runs.items() if count > 1], [])
     checks.equal("no order that was reported not run has run",
@@ -264,7 +282,7 @@
     checks.equal("every answered order ran once",
                  [order for order in orders if order.kind == "answered" and ran(order) != 1], [])
     checks.equal("no two replies to an order contradict each other", [order for order in orders if order.is_contradictory], [])
-    checks.equal("every attempt got a reply, but for routers killed or frozen and callers that left",
+    checks.equal("every attempt got a reply, but for routers killed, frozen or shut down and callers that left",
                  [attempt for attempt in silent if not faults.explains(attempt)], [])
     checks.true("some orders were answered, some unknown, some not run",
                 all(kinds[kind] > 0 for kind in ("answered", "unknown", "not-run")), str(dict(kinds)))
@@ -287,6 +305,9 @@
         time.sleep(SETTLE_SECONDS)
         checks.at_least("enough orders were placed", len(orders), options.seconds * ORDERS_PER_SECOND // 2)
         check_orders(orders, runs_of(running), faults, checks)
+        checks.equal("every shutdown ended with code 0", [code for code in faults.exit_codes if code != 0], [])
+        checks.equal("no router ended by itself",
+                     [router.name for router in running.routers if router.process.poll() is not None], [])
         for line in running.log_of("load").splitlines():
             checks.equal("no answer was wrong", json.loads(line)["wrong"], 0)
     return checks.conclude()
--- a/tests/unit/core_fixture.hpp
+++ b/tests/unit/core_fixture.hpp
@@ -3,6 +3,8 @@
 #include "kumquatbeam/controllers/decision_core.hpp"
 #include "kumquatbeam/types/credential_digest.hpp"
 
+#include <absl/strings/str_cat.h>
+
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -160,8 +162,9 @@
     {
         std::string text;
         for (const std::string name : { "large", "small" })
-            text += "[account " + name + "]\nowner=accounts\nshare=1000\ncredential-sha256="
-                + credentialDigest(credentialOf(name)) + "\n" + accountSettings + "\n";
+            absl::StrAppend(&text, "[account ", name,
+                "]\nowner=accounts\nshare=1000\ncredential-sha256=", credentialDigest(credentialOf(name)), "\n",
+                accountSettings, "\n");
         text += "[pool model]\nowner=models\nrepeatable=yes\n";
         text += "[pool booking]\nowner=bookings\nrepeatable=no\n";
         text
@@ -173,7 +176,7 @@
     {
         std::string text;
         for (const std::string name : { "r1", "r2" })
-            text += "[entry-vm " + name + "]\ndomain=north\naddress=127.0.0.1\npeer-port=1\n";
+            absl::StrAppend(&text, "[entry-vm ", name, "]\ndomain=north\naddress=127.0.0.1\npeer-port=1\n");
         return text;
     }
 };
--- a/tests/unit/order_book.tests.cpp
+++ b/tests/unit/order_book.tests.cpp
@@ -26,7 +26,7 @@
 
 order_ticket issueAndEnd(order_book& book, const client_account_id& account, const std::string& body, time_point now)
 {
-    const auto ticket = book.issue(account, manyTickets, 1, now);
+    auto ticket = book.issue(account, manyTickets, 1, now);
     book.begin(ticket, someOrder);
     book.end(ticket, answer(body), now);
     return ticket;
