--- a/src/kumquatbeam/duties/callers_duty.hpp
+++ b/src/kumquatbeam/duties/callers_duty.hpp
@@ -3,6 +3,7 @@
 #include "kumquatbeam/controllers/command.hpp"
 #include "kumquatbeam/duties/duty_links.hpp"
 #include "kumquatbeam/runtime/duty.hpp"
+#include "kumquatbeam/runtime/pause_watch.hpp"
 #include "kumquatbeam/sessions/caller_session.hpp"
 #include "kumquatbeam/settings/router_settings.hpp"
 
@@ -35,6 +36,7 @@
     void end(caller_session&) override;
     bool isReady() const override { return m_isReady && !m_isDraining; }
     bool isDraining() const override { return m_isDraining; }
+    time_point earliestArrival() override { return m_pauses.earliestArrival(); }
     std::uint64_t bodyLimit() const override { return static_cast<std::uint64_t>(m_settings.bodyLimit); }
 
     void accept();
@@ -47,6 +49,7 @@
     const router_settings& m_settings;
     duty_links& m_links;
     duty<caller_command> m_duty;
+    pause_watch m_pauses;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::unordered_map<request_id, std::shared_ptr<caller_session>> m_inProgress;
     /// Every open connection, by address.
--- a/src/kumquatbeam/sessions/caller_session.hpp
+++ b/src/kumquatbeam/sessions/caller_session.hpp
@@ -47,6 +47,9 @@
     /// Whether connections end with their next reply.
     virtual bool isDraining() const = 0;
 
+    /// The time after which bytes that are read now have arrived; the times left that they state count from it.
+    virtual time_point earliestArrival() = 0;
+
     virtual std::uint64_t bodyLimit() const = 0;
 };
 
