Answer whole, retry within a budget, eject failing endpoints, refuse early

Cause: an attempt that broke off was tried again only before its first byte and went to the back of its queue; a call that had broken and was then refused, or whose deadline passed while it waited for its retry, was reported as not run although it may have run; an answer head that had gone out kept its status when the retry's answer had another; a 1xx head was taken for the answer, and an answer delimited by the end of its connection could be short and look whole.

Ruled out: resuming without a confirmation, since an endpoint that ignores Resume-At starts over; lowering an endpoint's slots to eject or limit it, since the division of slots between routers is computed from them; holding time-outs against endpoints, since a caller may choose any deadline.

The head of an answer waits for its first bytes, a resumed answer needs Resumed-At, a Stream-Id that an endpoint names must match, and endpoints get Deadline-Ms. Waiting calls that cannot meet their deadline any more end before it, and Retry-After follows from the queue's pace.

--- a/src/kumquatbeam/codec/http_names.hpp
+++ b/src/kumquatbeam/codec/http_names.hpp
@@ -14,6 +14,8 @@
 /// @{ Header fields between the router and endpoints.
 inline constexpr char streamField[] = "Stream-Id";
 inline constexpr char resumeField[] = "Resume-At";
+inline constexpr char resumedField[] = "Resumed-At";
+inline constexpr char remainingField[] = "Deadline-Ms";
 inline constexpr char notRunField[] = "Not-Run";
 inline constexpr char fencingField[] = "Fencing-Number";
 /// @}
--- a/src/kumquatbeam/codec/status_json.cpp
+++ b/src/kumquatbeam/codec/status_json.cpp
@@ -27,8 +27,9 @@
     }
     json["endpoints"] = nlohmann::ordered_json::array();
     for (const auto& row : report.endpoints) {
-        json["endpoints"].push_back({ { "endpoint", row.endpoint.value }, { "pool", row.pool.value },
-            { "slots", row.slots.value }, { "running", row.running.value }, { "leaving", row.isLeaving } });
+        json["endpoints"].push_back(
+            { { "endpoint", row.endpoint.value }, { "pool", row.pool.value }, { "slots", row.slots.value },
+                { "running", row.running.value }, { "leaving", row.isLeaving }, { "ejected", row.isEjected } });
     }
     json["peers"] = nlohmann::ordered_json::array();
     for (const auto& row : report.peers)
--- a/src/kumquatbeam/controllers/placement_controller.cpp
+++ b/src/kumquatbeam/controllers/placement_controller.cpp
@@ -50,7 +50,10 @@
             dropOrphans(context);
         },
         [&](const members_published&) { refreshViews(); },
-        [&](const load_observed&) { refreshViews(); },
+        [&](const load_observed& observed) {
+            refreshViews();
+            observe(observed, context.now);
+        },
         [&](const peer_connected&) { refreshViews(); },
         [&](const peer_lost&) { refreshViews(); },
     };
@@ -62,11 +65,8 @@
 time_point placement_controller::nextDeadline() const
 {
     time_point earliest = never;
-    for (const auto& [id, pool] : m_pools) {
-        earliest = std::min(earliest, pool.strategy->nextBeat());
-        for (const auto& [account, queue] : pool.queues)
-            earliest = std::min(earliest, queue.nextDeadline());
-    }
+    for (const auto& [id, pool] : m_pools)
+        earliest = std::min({ earliest, pool.strategy->nextBeat(), pool.returnsAt, pool.hopelessAt });
     return earliest;
 }
 
@@ -86,7 +86,8 @@
         for (const auto& row : pool.view.accounts)
             report.accounts.push_back({ id, row.account, row.share, row.waiting, row.running, row.served });
         for (const auto& row : pool.view.endpoints)
-            report.endpoints.push_back({ row.endpoint, id, row.slots, row.running, !row.isUsable });
+            report.endpoints.push_back({ row.endpoint, id, row.slots, row.running, m_membership.isLeaving(row.endpoint),
+                pool.gate.isEjected(row.endpoint) });
     }
 }
 
@@ -100,6 +101,25 @@
     return waiting < m_configuration.current()->accounts.at(account).queueLimit;
 }
 
+time_point placement_controller::expectedStart(
+    const client_account_id& account, const pool_id& pool, urgency urgencyClass, time_point now) const
+{
+    const auto state = m_pools.find(pool);
+    if (state == m_pools.end())
+        return now;
+    const auto queue = state->second.queues.find(account);
+    const auto drain = state->second.drains.find(account);
+    if (queue == state->second.queues.end() || drain == state->second.drains.end())
+        return now;
+    return drain->second.startBehind(static_cast<std::int64_t>(queue->second.sizeBefore(urgencyClass)), now);
+}
+
+bool placement_controller::canMeet(time_point deadline, const pool_id& pool, time_point startAt, time_point now) const
+{
+    const auto state = m_pools.find(pool);
+    return state == m_pools.end() || startAt + state->second.service.shortest(now) <= deadline;
+}
+
 void placement_controller::enqueue(const request_context& request, decision_context& context)
 {
     auto& pool = m_pools.at(request.call->pool);
@@ -125,7 +145,7 @@
             if (!removed)
                 continue;
             --findAccount(pool.view, accountId)->waiting;
-            end(std::move(*removed), notRun({ failure_kind::CallerGone }), context);
+            endUnplaced(std::move(*removed), { failure_kind::CallerGone }, context);
             return;
         }
     }
@@ -144,38 +164,122 @@
         }
         if (auto* endpoint = findEndpoint(state->second.view, call.endpoint))
             endpoint->running -= slot_count { 1 };
+        recordAttempt(state->second, ended, context.now);
     }
     settle(std::move(call), ended, context);
 }
 
-void placement_controller::settle(running_call call, const attempt_ended& ended, decision_context& context)
+void placement_controller::recordAttempt(pool_state& pool, const attempt_ended& ended, time_point now)
 {
     if (ended.outcome == attempt_outcome::Completed) {
-        std::optional<call_reply> reply;
-        if (!call.context.isRepeatable)
-            reply = call_reply { .kind = reply_kind::Answered,
-                .problem = {},
-                .status = ended.status,
-                .contentType = ended.contentType,
-                .body = ended.body };
-        context.raised.emplace_back(request_ended { std::move(call.context), std::move(reply) });
+        pool.gate.recordAnswer(ended.endpoint, now);
+        pool.retries.deposit();
+        pool.service.record(ended.cost, now);
         return;
     }
-    if (mayTryAgain(call, ended)) {
-        m_attemptsBefore[ended.id] = call.attempts;
-        enqueue(call.context, context);
+    const auto kind = ended.problem ? ended.problem->kind : failure_kind::EndpointBroke;
+    // A deadline that passed or a caller that left says nothing about the endpoint; failed load probes tell of one that
+    // hangs.
+    const bool isEndpointsFault = kind == failure_kind::EndpointBroke || kind == failure_kind::EndpointUnreachable
+        || kind == failure_kind::EndpointRefused;
+    if (isEndpointsFault)
+        pool.gate.recordFailure(ended.endpoint, now);
+}
+
+void placement_controller::settle(running_call call, const attempt_ended& ended, decision_context& context)
+{
+    const auto facts = factsOf(call, ended, context.now);
+    auto verdict = verdictAfter(facts);
+    auto problem = ended.problem.value_or(failure { failure_kind::EndpointBroke, ended.endpoint.value });
+    const auto pool = m_pools.find(call.context.call->pool);
+    const bool isRetry = verdict == attempt_verdict::TryAgain || verdict == attempt_verdict::Resume;
+    if (isRetry && (pool == m_pools.end() || !pool->second.retries.tryWithdraw())) {
+        verdict = endingAfter(facts);
+        problem = { failure_kind::RetriesExhausted, ended.endpoint.value };
+    }
+    switch (verdict) {
+    case attempt_verdict::Answer:
+        answer(std::move(call), ended, context);
+        break;
+    case attempt_verdict::TryAgain:
+    case attempt_verdict::Resume:
+        tryAgain(std::move(call), facts, context);
+        break;
+    case attempt_verdict::EndNotRun:
+        end(std::move(call.context), notRun(std::move(problem)), context);
+        break;
+    case attempt_verdict::EndUnknown:
+        end(std::move(call.context), unknownOutcome(std::move(problem)), context);
+        break;
+    }
+}
+
+attempt_facts placement_controller::factsOf(const running_call& call, const attempt_ended& ended, time_point now) const
+{
+    const auto document = m_configuration.current();
+    const auto pool = document->pools.find(call.context.call->pool);
+    return {
+        .isComplete = ended.outcome == attempt_outcome::Completed,
+        .isProvenNotRun = ended.outcome == attempt_outcome::NotSent || ended.outcome == attempt_outcome::Refused,
+        .mayHaveRunBefore = call.before.mayHaveRun,
+        .isRepeatable = call.context.isRepeatable,
+        .canResume = pool != document->pools.end() && pool->second.canResume,
+        .relayed = ended.relayed,
+        .attempts = call.before.attempts + 1,
+        .isWanted = !call.isAbandoned && call.context.deadline > now,
+    };
+}
+
+void placement_controller::answer(running_call call, const attempt_ended& ended, decision_context& context)
+{
+    std::optional<call_reply> reply;
+    if (!call.context.isRepeatable)
+        reply = call_reply { .kind = reply_kind::Answered,
+            .problem = {},
+            .status = ended.status,
+            .contentType = ended.contentType,
+            .body = ended.body };
+    context.raised.emplace_back(request_ended { std::move(call.context), std::move(reply) });
+}
+
+void placement_controller::tryAgain(running_call call, const attempt_facts& facts, decision_context& context)
+{
+    auto& pool = m_pools.at(call.context.call->pool);
+    auto* account = findAccount(pool.view, call.context.account);
+    if (!account) {
+        const auto problem = failure { failure_kind::UnknownAccount, call.context.account.value };
+        const bool hasNotRun = endingAfter(facts) == attempt_verdict::EndNotRun;
+        end(std::move(call.context), hasNotRun ? notRun(problem) : unknownOutcome(problem), context);
         return;
     }
-    const bool hasNotRun = ended.outcome == attempt_outcome::NotSent || ended.outcome == attempt_outcome::Refused;
-    auto problem = ended.problem.value_or(failure { failure_kind::EndpointBroke, ended.endpoint.value });
-    end(std::move(call.context), hasNotRun ? notRun(std::move(problem)) : unknownOutcome(std::move(problem)), context);
+    m_histories[call.context.id] = { facts.attempts, facts.mayHaveRunBefore || !facts.isProvenNotRun, facts.relayed };
+    pool.queues[call.context.account].pushFront(std::move(call.context));
+    ++account->waiting;
 }
 
-bool placement_controller::mayTryAgain(const running_call& call, const attempt_ended& ended) const
+void placement_controller::observe(const load_observed& observed, time_point now)
 {
-    if (call.isAbandoned || call.attempts >= attemptLimit || ended.relayed.value > 0)
-        return false;
-    return ended.outcome != attempt_outcome::Broken || call.context.isRepeatable;
+    const auto waiting
+        = observed.load ? std::optional<std::int64_t>(observed.load->waiting) : std::optional<std::int64_t>();
+    for (auto& [id, pool] : m_pools) {
+        if (const auto* endpoint = findEndpoint(pool.view, observed.endpoint))
+            pool.gate.recordProbe(*endpoint, waiting, now);
+    }
+}
+
+void placement_controller::refreshDeadlines(pool_state& pool, time_point now) const
+{
+    pool.returnsAt = pool.gate.nextReturn(now);
+    time_point earliest = never;
+    for (const auto& [account, queue] : pool.queues)
+        earliest = std::min(earliest, queue.nextDeadline());
+    pool.hopelessAt = earliest == never ? never : earliest - pool.service.shortest(now);
+}
+
+void placement_controller::refreshUsable(pool_state& pool, time_point now) const
+{
+    for (auto& row : pool.view.endpoints)
+        row.isUsable = !m_membership.isLeaving(row.endpoint) && pool.gate.admits(row, now);
 }
 
 void placement_controller::receive(const peer_received& received, decision_context& context)
@@ -234,9 +338,9 @@
         endpoint_capacity row { .endpoint = id, .domain = endpoint.domain, .slots = endpoint.slots };
         if (const auto* before = findEndpoint(old, id))
             row.running = before->running;
-        row.isUsable = !m_membership.isLeaving(id);
         view.endpoints.push_back(std::move(row));
     }
+    state.gate.setEndpoints(view);
     for (const auto& [id, vm] : m_membership.members().entryVms)
         view.routers.push_back({ id, vm.domain, id == m_settings.self || m_membership.connectedPeers().contains(id) });
 }
@@ -251,7 +355,7 @@
             if (document->accounts.contains(account) && document->pools.contains(id))
                 continue;
             while (auto request = queue.pop())
-                end(std::move(*request), notRun({ failure_kind::UnknownAccount, account.value }), context);
+                endUnplaced(std::move(*request), { failure_kind::UnknownAccount, account.value }, context);
         }
         std::erase_if(pool.queues, [&](const auto& entry) { return !document->accounts.contains(entry.first); });
     }
@@ -260,8 +364,12 @@
 
 void placement_controller::placeWaiting(pool_state& pool, decision_context& context)
 {
-    while (const auto choice = pool.strategy->choose(pool.view, context.now))
+    refreshUsable(pool, context.now);
+    while (const auto choice = pool.strategy->choose(pool.view, context.now)) {
         start(pool, *choice, context);
+        refreshUsable(pool, context.now);
+    }
+    refreshDeadlines(pool, context.now);
 }
 
 void placement_controller::start(pool_state& pool, const placement_choice& choice, decision_context& context)
@@ -274,6 +382,7 @@
     --account->waiting;
     ++account->running;
     endpoint->running += slot_count { 1 };
+    pool.drains[choice.account].recordStart(account->waiting, context.now);
 
     context.log.placed({ request->id, choice.account, pool.view.pool, choice.endpoint, choice.reason, choice.runnerUp,
         choice.runnerUpReason });
@@ -286,20 +395,20 @@
         .deadline = request->deadline,
         .isBuffered = !request->isRepeatable,
     };
-    int attempts = 1;
-    if (const auto before = m_attemptsBefore.extract(request->id))
-        attempts += before.mapped();
-    const auto id = request->id;
-    m_running.emplace(id, running_call { std::move(*request), choice.endpoint, attempts });
+    running_call call { std::move(*request), choice.endpoint };
+    if (const auto history = m_histories.extract(attempt.id))
+        call.before = history.mapped();
+    attempt.resumeAt = call.before.relayed;
+    m_running.emplace(attempt.id, std::move(call));
     context.commands.send(endpoint_command { std::move(attempt) });
 }
 
 void placement_controller::expire(pool_state& pool, decision_context& context)
 {
     for (auto& [id, queue] : pool.queues) {
-        for (auto& request : queue.removeExpired(context.now)) {
+        for (auto& request : queue.removeExpired(context.now + pool.service.shortest(context.now))) {
             --findAccount(pool.view, id)->waiting;
-            end(std::move(request), notRun({ failure_kind::DeadlinePassed }), context);
+            endUnplaced(std::move(request), { failure_kind::DeadlinePassed }, context);
         }
     }
 }
@@ -312,9 +421,16 @@
         context.commands.send(peer_command { send_to_peer { std::move(message.to), std::move(message.message) } });
 }
 
+void placement_controller::endUnplaced(request_context request, failure problem, decision_context& context)
+{
+    const auto history = m_histories.find(request.id);
+    const bool mayHaveRun = history != m_histories.end() && history->second.mayHaveRun;
+    end(std::move(request), mayHaveRun ? unknownOutcome(std::move(problem)) : notRun(std::move(problem)), context);
+}
+
 void placement_controller::end(request_context request, call_reply reply, decision_context& context)
 {
-    m_attemptsBefore.erase(request.id);
+    m_histories.erase(request.id);
     if (reply.problem)
         context.log.refused({ request.id, request.account, request.call->pool, name(), *reply.problem });
     context.raised.emplace_back(request_ended { std::move(request), std::move(reply) });
--- a/src/kumquatbeam/controllers/placement_controller.hpp
+++ b/src/kumquatbeam/controllers/placement_controller.hpp
@@ -4,7 +4,11 @@
 #include "kumquatbeam/controllers/controller.hpp"
 #include "kumquatbeam/controllers/membership_controller.hpp"
 #include "kumquatbeam/decisions/account_queue.hpp"
+#include "kumquatbeam/decisions/attempt_policy.hpp"
 #include "kumquatbeam/decisions/capacity_strategy.hpp"
+#include "kumquatbeam/decisions/endpoint_gate.hpp"
+#include "kumquatbeam/decisions/retry_budget.hpp"
+#include "kumquatbeam/decisions/service_estimate.hpp"
 #include "kumquatbeam/settings/router_settings.hpp"
 
 #include <map>
@@ -28,28 +32,46 @@
     /// Whether the account may have one more request waiting in the pool.
     bool hasRoomFor(const client_account_id&, const pool_id&) const;
 
-private:
-    /// Attempts that one call may have.
-    static constexpr int attemptLimit = 3;
+    /// When a request of this urgency that joins the account's queue now would start, for all that is known.
+    time_point expectedStart(const client_account_id&, const pool_id&, urgency, time_point now) const;
+
+    /// Whether a request that starts then can be answered by the deadline, for all that is known.
+    bool canMeet(time_point deadline, const pool_id&, time_point startAt, time_point now) const;
 
+private:
     struct pool_state {
         pool_view view;
         std::unique_ptr<capacity_strategy> strategy;
         std::map<client_account_id, account_queue> queues;
+        std::map<client_account_id, drain_estimate> drains;
+        service_estimate service;
+        endpoint_gate gate;
+        retry_budget retries;
+        /// When an ejected endpoint may be tried again.
+        time_point returnsAt = never;
+        /// When the next waiting request can no longer be answered by its deadline.
+        time_point hopelessAt = never;
     };
 
     struct running_call {
         request_context context;
         endpoint_id endpoint;
-        int attempts = 0;
+        /// The history at the start of the attempt that runs.
+        attempt_history before;
         bool isAbandoned = false;
     };
 
     void enqueue(const request_context&, decision_context&);
     void abandon(request_id, decision_context&);
     void finishAttempt(const attempt_ended&, decision_context&);
+    static void recordAttempt(pool_state&, const attempt_ended&, time_point now);
     void settle(running_call, const attempt_ended&, decision_context&);
-    bool mayTryAgain(const running_call&, const attempt_ended&) const;
+    attempt_facts factsOf(const running_call&, const attempt_ended&, time_point now) const;
+    void answer(running_call, const attempt_ended&, decision_context&);
+    void tryAgain(running_call, const attempt_facts&, decision_context&);
+    void observe(const load_observed&, time_point now);
+    void refreshDeadlines(pool_state&, time_point now) const;
+    void refreshUsable(pool_state&, time_point now) const;
     void receive(const peer_received&, decision_context&);
     void refreshViews();
     void refreshPool(pool_state&, const endpoint_pool&);
@@ -58,6 +80,7 @@
     void start(pool_state&, const placement_choice&, decision_context&);
     void expire(pool_state&, decision_context&);
     void sendBeats(pool_state&, decision_context&);
+    void endUnplaced(request_context, failure, decision_context&);
     void end(request_context, call_reply, decision_context&);
 
     const router_settings& m_settings;
@@ -65,7 +88,8 @@
     const membership_controller& m_membership;
     std::map<pool_id, pool_state> m_pools;
     std::unordered_map<request_id, running_call> m_running;
-    std::unordered_map<request_id, int> m_attemptsBefore;
+    /// Of the calls that wait for another attempt.
+    std::unordered_map<request_id, attempt_history> m_histories;
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/status_report.hpp
+++ b/src/kumquatbeam/controllers/status_report.hpp
@@ -26,6 +26,8 @@
     slot_count slots;
     slot_count running;
     bool isLeaving = false;
+    /// Whether the endpoint is ejected for its failures, or on trial after that.
+    bool isEjected = false;
 };
 
 /// One peer, as this router sees it.
--- a/src/kumquatbeam/decisions/account_queue.cpp
+++ b/src/kumquatbeam/decisions/account_queue.cpp
@@ -10,6 +10,11 @@
     m_classes.at(static_cast<std::size_t>(context.call->urgencyClass)).push_back(std::move(context));
 }
 
+void account_queue::pushFront(request_context context)
+{
+    m_classes.at(static_cast<std::size_t>(context.call->urgencyClass)).push_front(std::move(context));
+}
+
 std::optional<request_context> account_queue::pop()
 {
     for (auto waiting = m_classes.rbegin(); waiting != m_classes.rend(); ++waiting) {
@@ -58,6 +63,14 @@
     return earliest;
 }
 
+std::size_t account_queue::sizeBefore(urgency urgencyClass) const
+{
+    std::size_t total = 0;
+    for (auto index = static_cast<std::size_t>(urgencyClass); index < m_classes.size(); ++index)
+        total += m_classes.at(index).size();
+    return total;
+}
+
 std::size_t account_queue::size() const
 {
     std::size_t total = 0;
--- a/src/kumquatbeam/decisions/account_queue.hpp
+++ b/src/kumquatbeam/decisions/account_queue.hpp
@@ -15,6 +15,9 @@
 public:
     void push(request_context);
 
+    /// Puts a request that has had its turn before all others of its class.
+    void pushFront(request_context);
+
     /// Takes the request whose turn it is, or nothing.
     std::optional<request_context> pop();
 
@@ -29,6 +32,9 @@
 
     std::size_t size() const;
 
+    /// Requests that go before a new one of this urgency.
+    std::size_t sizeBefore(urgency) const;
+
 private:
     std::array<std::deque<request_context>, urgencyCount> m_classes;
 };
--- /dev/null
+++ b/src/kumquatbeam/decisions/endpoint_health.cpp
@@ -0,0 +1,98 @@
+#include "kumquatbeam/decisions/endpoint_health.hpp"
+
+#include <algorithm>
+
+namespace kumquatbeam {
+
+void endpoint_health::setEndpoints(const std::set<endpoint_id>& endpoints)
+{
+    std::erase_if(m_records, [&](const auto& entry) { return !endpoints.contains(entry.first); });
+    for (const auto& endpoint : endpoints)
+        m_records.try_emplace(endpoint);
+}
+
+void endpoint_health::recordAnswer(const endpoint_id& endpoint, time_point now)
+{
+    const auto found = m_records.find(endpoint);
+    if (found == m_records.end())
+        return;
+    auto& row = found->second;
+    row.failedCalls = 0;
+    if (row.is == standing::Ejected && now >= row.returnsAt) {
+        row.is = standing::Healthy;
+        row.forgivenAt = now + probation;
+    }
+    if (now >= row.forgivenAt) {
+        row.nextEjection = firstEjection;
+        row.forgivenAt = never;
+    }
+}
+
+void endpoint_health::recordFailure(const endpoint_id& endpoint, time_point now)
+{
+    const auto found = m_records.find(endpoint);
+    if (found == m_records.end())
+        return;
+    auto& row = found->second;
+    ++row.failedCalls;
+    const bool isTrial = row.is == standing::Ejected && now >= row.returnsAt;
+    if (isTrial || row.failedCalls >= failuresToEject)
+        eject(row, now);
+}
+
+void endpoint_health::recordProbe(const endpoint_id& endpoint, bool isAnswered, time_point now)
+{
+    const auto found = m_records.find(endpoint);
+    if (found == m_records.end())
+        return;
+    auto& row = found->second;
+    row.failedProbes = isAnswered ? 0 : row.failedProbes + 1;
+    if (row.failedProbes >= failuresToEject)
+        eject(row, now);
+}
+
+bool endpoint_health::admits(const endpoint_id& endpoint, bool hasRunning, time_point now) const
+{
+    const auto found = m_records.find(endpoint);
+    if (found == m_records.end() || found->second.is == standing::Healthy)
+        return true;
+    return now >= found->second.returnsAt && !hasRunning;
+}
+
+bool endpoint_health::isEjected(const endpoint_id& endpoint) const
+{
+    const auto found = m_records.find(endpoint);
+    return found != m_records.end() && found->second.is == standing::Ejected;
+}
+
+time_point endpoint_health::nextReturn(time_point now) const
+{
+    time_point earliest = never;
+    for (const auto& [id, row] : m_records) {
+        if (row.is == standing::Ejected && row.returnsAt > now)
+            earliest = std::min(earliest, row.returnsAt);
+    }
+    return earliest;
+}
+
+void endpoint_health::eject(record& row, time_point now)
+{
+    // Calls that were under way when the endpoint was ejected may still fail; they do not prolong the ejection.
+    const bool isOut = row.is == standing::Ejected && now < row.returnsAt;
+    if (isOut || (row.is == standing::Healthy && !mayEjectOneMore()))
+        return;
+    row.is = standing::Ejected;
+    row.returnsAt = now + row.nextEjection;
+    row.nextEjection = std::min(row.nextEjection * 2, longestEjection);
+    row.failedCalls = 0;
+    row.failedProbes = 0;
+}
+
+bool endpoint_health::mayEjectOneMore() const
+{
+    const auto ejected = std::count_if(
+        m_records.begin(), m_records.end(), [](const auto& entry) { return entry.second.is == standing::Ejected; });
+    return (static_cast<std::size_t>(ejected) + 1) * poolPartEjected <= m_records.size();
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/decisions/endpoint_health.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "kumquatbeam/types/ids.hpp"
+#include "kumquatbeam/types/time.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <set>
+
+namespace kumquatbeam {
+
+/// Outlier ejection for the endpoints of one pool: consecutive failures eject an endpoint for a time that doubles up to
+/// a bound, and one trial call at a time brings it back.
+class endpoint_health {
+public:
+    /// Consecutive failures, of calls or of load probes, that eject an endpoint.
+    static constexpr int failuresToEject = 3;
+
+    /// @{ The first ejection's time, and the bound to which it doubles.
+    static constexpr std::chrono::seconds firstEjection { 2 };
+    static constexpr std::chrono::seconds longestEjection { 30 };
+    /// @}
+
+    /// An endpoint that has served for this long after its return starts from the first ejection's time again.
+    static constexpr std::chrono::seconds probation { 60 };
+
+    /// At most one in this many endpoints of the pool is ejected.
+    static constexpr std::size_t poolPartEjected = 2;
+
+    /// Keeps these endpoints and forgets all others.
+    void setEndpoints(const std::set<endpoint_id>&);
+
+    /// @{ Takes in the end of a call at the endpoint.
+    void recordAnswer(const endpoint_id&, time_point now);
+    void recordFailure(const endpoint_id&, time_point now);
+    /// @}
+
+    /// Takes in whether the endpoint answered a load probe. Probes fail a run of their own: a probe that is answered
+    /// says nothing about calls.
+    void recordProbe(const endpoint_id&, bool isAnswered, time_point now);
+
+    /// Whether a further call may go to the endpoint, given whether this router has one running there.
+    bool admits(const endpoint_id&, bool hasRunning, time_point now) const;
+
+    /// Whether the endpoint is ejected, or on trial after that.
+    bool isEjected(const endpoint_id&) const;
+
+    /// When the next ejection ends.
+    time_point nextReturn(time_point now) const;
+
+private:
+    enum class standing {
+        Healthy,
+        /// Ejected until `returnsAt`, and on trial from then on.
+        Ejected,
+    };
+
+    struct record {
+        standing is = standing::Healthy;
+        int failedCalls = 0;
+        int failedProbes = 0;
+        time_point returnsAt {};
+        std::chrono::seconds nextEjection = firstEjection;
+        time_point forgivenAt = never;
+    };
+
+    void eject(record&, time_point now);
+    bool mayEjectOneMore() const;
+
+    std::map<endpoint_id, record> m_records;
+};
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/decisions/service_estimate.cpp
@@ -0,0 +1,62 @@
+#include "kumquatbeam/decisions/service_estimate.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+
+namespace kumquatbeam {
+
+namespace {
+
+    /// Weight of the newest observation in the smoothed values.
+    constexpr double newestWeight = 0.125;
+    constexpr double deviations = 2;
+
+    /// Queues are never expected to take longer than this.
+    constexpr std::chrono::seconds longestWait { 600 };
+
+    void smooth(double& value, double newest)
+    {
+        value += (newest - value) * newestWeight;
+    }
+
+} // namespace
+
+void service_estimate::record(service_cost cost, time_point now)
+{
+    const auto newest = static_cast<double>(cost.value);
+    if (now >= m_validUntil) {
+        m_mean = newest;
+        m_deviation = newest;
+    } else {
+        smooth(m_deviation, std::abs(newest - m_mean));
+        smooth(m_mean, newest);
+    }
+    m_validUntil = now + validity;
+}
+
+std::chrono::microseconds service_estimate::shortest(time_point now) const
+{
+    if (now >= m_validUntil)
+        return std::chrono::microseconds(0);
+    return std::chrono::microseconds(static_cast<std::int64_t>(std::max(0.0, m_mean - deviations * m_deviation)));
+}
+
+void drain_estimate::recordStart(std::int64_t waiting, time_point now)
+{
+    if (m_wasBacklogged) {
+        const auto interval = std::chrono::duration_cast<std::chrono::microseconds>(now - m_startedAt);
+        smooth(m_interval, static_cast<double>(interval.count()));
+    }
+    m_startedAt = now;
+    m_wasBacklogged = waiting > 0;
+}
+
+time_point drain_estimate::startBehind(std::int64_t waiting, time_point now) const
+{
+    const std::chrono::duration<double, std::micro> wait(m_interval * static_cast<double>(waiting));
+    return now
+        + std::min(std::chrono::duration_cast<std::chrono::microseconds>(wait), std::chrono::microseconds(longestWait));
+}
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/filters/queue_limit_filter.cpp
+++ b/src/kumquatbeam/filters/queue_limit_filter.cpp
@@ -2,14 +2,19 @@
 
 #include "kumquatbeam/controllers/placement_controller.hpp"
 
+#include <algorithm>
+
 namespace kumquatbeam {
 
 std::optional<call_reply> queue_limit_filter::apply(request_context& context, time_point now) const
 {
-    if (m_placement.hasRoomFor(context.account, context.call->pool))
+    const auto& call = *context.call;
+    const auto startAt = m_placement.expectedStart(context.account, call.pool, call.urgencyClass, now);
+    const bool isInTime = startAt == now || m_placement.canMeet(context.deadline, call.pool, startAt, now);
+    if (isInTime && m_placement.hasRoomFor(context.account, call.pool))
         return std::nullopt;
     auto reply = notRun({ failure_kind::QueueFull, context.account.value });
-    reply.retryAt = now + queueFullRetryDelay;
+    reply.retryAt = std::clamp(startAt, now + shortestRetryDelay, now + longestRetryDelay);
     return reply;
 }
 
--- a/src/kumquatbeam/filters/queue_limit_filter.hpp
+++ b/src/kumquatbeam/filters/queue_limit_filter.hpp
@@ -6,10 +6,14 @@
 
 class placement_controller;
 
-/// How much later a caller is told to come back after a full queue.
-inline constexpr std::chrono::seconds queueFullRetryDelay { 1 };
-
-/// Refuses a request whose account already has as many waiting as its limit allows.
+/// @{ Bounds of the time after which a refused caller is told to come back; within them it is when its request would
+/// have started.
+inline constexpr std::chrono::seconds shortestRetryDelay { 1 };
+inline constexpr std::chrono::seconds longestRetryDelay { 60 };
+/// @}
+
+/// Refuses a request whose account has as many waiting as its limit allows, or so many that the request would start too
+/// late for its deadline.
 class queue_limit_filter final : public request_filter {
 public:
     explicit queue_limit_filter(const placement_controller& placement)
--- a/src/kumquatbeam/sessions/endpoint_session.cpp
+++ b/src/kumquatbeam/sessions/endpoint_session.cpp
@@ -16,6 +16,13 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+namespace {
+
+    /// Statuses below this one announce that an answer is still to come.
+    constexpr unsigned lowestFinalStatus = 200;
+
+} // namespace
+
 endpoint_session::endpoint_session(asio::io_context& context, endpoint_host& host, start_attempt attempt)
     : m_host(host)
     , m_attempt(std::move(attempt))
@@ -46,8 +53,13 @@
 
 void endpoint_session::pieceConsumed()
 {
-    if (m_isFinished)
+    if (m_isFinished || !std::exchange(m_isPieceOut, false))
         return;
+    readOn();
+}
+
+void endpoint_session::readOn()
+{
     if (m_parser->is_done())
         finishWhole();
     else
@@ -62,11 +74,18 @@
         finishBroken(failureAfter(error));
         return;
     }
+    // An endpoint that speaks before it was asked answers something else: an earlier connection's call, or nothing.
+    if (m_stream.socket().available(error) > 0) {
+        finishBroken(failure_kind::EndpointBroke);
+        return;
+    }
     // The process may have been paused since the decision; a lease that has ended meanwhile forbids the send.
     if (clock::now() >= m_attempt.sendBefore) {
         finishBroken(failure_kind::DeadlinePassed);
         return;
     }
+    const auto remaining = std::chrono::floor<std::chrono::milliseconds>(m_attempt.deadline - clock::now());
+    m_request.set(remainingField, std::to_string(remaining.count()));
     m_hasSent = true;
     m_stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
     http::async_write(m_stream, m_request,
@@ -81,6 +100,11 @@
         finishBroken(failureAfter(error));
         return;
     }
+    readHead();
+}
+
+void endpoint_session::readHead()
+{
     m_parser.emplace();
     // An answer is bounded piece by piece, not as a whole. Boost 1.74 takes an unset limit for zero.
     m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -101,12 +125,44 @@
         finish(attempt_outcome::Refused, failure { failure_kind::EndpointRefused, m_attempt.to.endpoint.value });
         return;
     }
-    if (!m_attempt.isBuffered && m_attempt.resumeAt.value == 0) {
-        const auto type = head[http::field::content_type];
-        m_host.relay(answer_head {
-            m_attempt.id, { static_cast<int>(head.result_int()) }, std::string(type.data(), type.size()) });
+    if (head.result_int() < lowestFinalStatus && ++m_interimAnswers <= interimLimit) {
+        readHead();
+        return;
+    }
+    if (const auto fault = faultOfHead()) {
+        finishBroken(*fault);
+        return;
     }
-    readPiece();
+    readOn();
+}
+
+std::optional<failure_kind> endpoint_session::faultOfHead() const
+{
+    const auto& head = m_parser->get();
+    // Where only the end of the connection ends the answer, a short answer cannot be told from a whole one.
+    if (head.result_int() < lowestFinalStatus || m_parser->need_eof())
+        return failure_kind::EndpointBroke;
+    // An endpoint that names the stream must name this one; anything else is an answer to another call.
+    const auto stream = head.find(streamField);
+    if (stream != head.end() && stream->value() != m_host.streamIdOf(m_attempt.id))
+        return failure_kind::EndpointBroke;
+    if (m_attempt.resumeAt.value == 0)
+        return std::nullopt;
+    // An endpoint that does not confirm the offset may have started from the beginning.
+    const bool isConfirmed
+        = head.result() == http::status::ok && head[resumedField] == std::to_string(m_attempt.resumeAt.value);
+    return isConfirmed ? std::nullopt : std::optional(failure_kind::EndpointBroke);
+}
+
+void endpoint_session::relayHead()
+{
+    // The head waits for the first bytes of the body, so that an attempt that breaks before them leaves no trace.
+    if (m_attempt.resumeAt.value > 0 || std::exchange(m_hasHeadGone, true))
+        return;
+    const auto& head = m_parser->get();
+    const auto type = head[http::field::content_type];
+    m_host.relay(
+        answer_head { m_attempt.id, { static_cast<int>(head.result_int()) }, std::string(type.data(), type.size()) });
 }
 
 void endpoint_session::readPiece()
@@ -132,21 +188,25 @@
         if (m_kept.size() > m_host.bodyLimit())
             finishBroken(failure_kind::AnswerTooLarge);
         else
-            pieceConsumed();
+            readOn();
         return;
     }
     if (received == 0) {
-        pieceConsumed();
+        readOn();
         return;
     }
+    relayHead();
+    m_isPieceOut = true;
     m_relayed += byte_count { received };
     m_host.relay(answer_piece { m_attempt.id, std::string(m_piece.data(), received) });
 }
 
 void endpoint_session::finishWhole()
 {
-    if (!m_attempt.isBuffered)
+    if (!m_attempt.isBuffered) {
+        relayHead();
         m_host.relay(answer_end { m_attempt.id });
+    }
     finish(attempt_outcome::Completed, std::nullopt);
 }
 
--- a/src/kumquatbeam/sessions/endpoint_session.hpp
+++ b/src/kumquatbeam/sessions/endpoint_session.hpp
@@ -45,9 +45,16 @@
 private:
     static constexpr std::size_t pieceSize = 16 * 1024;
 
+    /// Interim answers (1xx) that an endpoint may send before its answer.
+    static constexpr int interimLimit = 8;
+
     void onConnected(boost::beast::error_code);
     void onSent(boost::beast::error_code);
+    void readHead();
     void onHead(boost::beast::error_code);
+    std::optional<failure_kind> faultOfHead() const;
+    void relayHead();
+    void readOn();
     void readPiece();
     void onPiece(boost::beast::error_code, std::size_t);
     void finishWhole();
@@ -65,7 +72,11 @@
     std::string m_kept;
     byte_count m_relayed;
     time_point m_startedAt;
+    int m_interimAnswers = 0;
     bool m_hasSent = false;
+    bool m_hasHeadGone = false;
+    /// Whether a relayed piece has not been acknowledged yet.
+    bool m_isPieceOut = false;
     bool m_isFinished = false;
 };
 
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -3,7 +3,19 @@
 
 POST /generate with the body `id=X tokens=N ms=T` streams N tokens, T ms apart; each token is `X:i ` and the answer ends
 with `end X N`. Resume-At cuts off the bytes that the caller has. A closed connection cancels. GET /load reports running
-and waiting calls, late. POST /control?leaving=yes|no&break-after=TOKENS&refuse=yes|no changes behaviour.
+and waiting calls, late. A resumed answer is confirmed by Resumed-At. `pad=BYTES` makes each token longer. POST
+/control?leaving=yes|no&break-after=TOKENS&refuse=yes|no&answer=FORM&load=yes|no changes behaviour; FORM is `whole` or a
+way to answer wrongly:
+
+cut-length      states a Content-Length and closes before it is reached
+no-length       states no length and closes half-way
+bad-chunk       breaks the chunked framing in the middle
+garbage         adds bytes after the whole answer
+twice           sends the whole answer twice
+interim         sends interim heads (1xx) before the whole answer
+close           closes without an answer
+early           answers before it is asked, with the answer to another call
+ignore-resume   starts a resumed answer from the beginning and does not confirm it
 POST /order?kind=... with a Fencing-Number is refused when checking is on and the number is old.
 """
 
@@ -30,7 +42,12 @@
         self.reported = (0.0, 0, 0)
         self.leaving = False
         self.refuse = False
+        self.refused = 0
         self.break_after = None
+        self.answer = "whole"
+        self.reports_load = True
+        self.resumed = 0
+        self.deadlines = []
         self.fencing = 0
         self.orders = []
 
@@ -44,11 +61,20 @@
         if request.path == "/order":
             return self.order(request)
         if self.refuse:
+            self.refused += 1
             return Response(503, b"refused\n", {"Not-Run": "yes"})
         await self.generate(request, reader, writer)
         return None
 
+    def greeting(self):
+        """What is written to a connection before its request has come."""
+        if self.answer != "early":
+            return b""
+        return b"HTTP/1.1 200 OK\r\nStream-Id: another\r\nContent-Length: 6\r\n\r\nwrong\n"
+
     def load(self):
+        if not self.reports_load:
+            raise ConnectionError("told to be silent")
         now = time.monotonic()
         if now - self.reported[0] >= self.report_lag:
             self.reported = (now, self.running, self.waiting)
@@ -59,7 +85,8 @@
     def counts(self):
         return Response(200, json.dumps({
             "started": self.started, "cancelled": self.cancelled, "running": self.running, "waiting": self.waiting,
-            "overload": self.overload, "busy_seconds": self.busy_seconds, "orders": self.orders,
+            "resumed": self.resumed, "refused": self.refused,
+            "deadlines": self.deadlines[-2000:], "overload": self.overload, "busy_seconds": self.busy_seconds, "orders": self.orders,
             "started_at": self.first_seen[-2000:]}).encode())
 
     def control(self, query):
@@ -69,6 +96,9 @@
             self.refuse = query["refuse"] == "yes"
         if "break-after" in query:
             self.break_after = int(query["break-after"]) or None
+        self.answer = query.get("answer", self.answer)
+        if "load" in query:
+            self.reports_load = query["load"] == "yes"
         return Response(200, b"done\n")
 
     def order(self, request):
@@ -84,8 +114,13 @@
         tokens = int(fields.get("tokens", "10"))
         pause = float(fields.get("ms", "20")) / 1000
         name = fields.get("id", "x")
+        padding = int(fields.get("pad", "0"))
         skip = int(request.headers.get("resume-at", "0"))
+        if "deadline-ms" in request.headers:
+            self.deadlines.append(int(request.headers["deadline-ms"]))
         self.started += 1
+        if self.answer == "close":
+            raise ConnectionError("told to close")
         self.first_seen.append(time.time())
         gone = asyncio.ensure_future(reader.read(1))
         self.waiting += 1
@@ -97,15 +132,40 @@
                 self.running += 1
                 began = time.monotonic()
                 try:
-                    await self.stream(writer, gone, name, tokens, pause, skip)
+                    await self.answer_in_form(writer, gone, (name, tokens, pause, padding, request.headers.get("stream-id")), skip)
                 finally:
                     self.running -= 1
                     self.busy_seconds += time.monotonic() - began
         finally:
             gone.cancel()
 
-    async def stream(self, writer, gone, name, tokens, pause, skip):
-        await start_chunked(writer, "text/plain")
+    async def answer_in_form(self, writer, gone, work, skip):
+        name, tokens = work[:2]
+        whole = "".join(f"{name}:{index} " for index in range(tokens)).encode() + f"end {name} {tokens}\n".encode()
+        half = whole[:len(whole) // 2]
+        plain = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n"
+        stated = plain + f"Content-Length: {len(whole)}\r\n\r\n".encode()
+        wrong = {
+            "cut-length": stated + half,
+            "no-length": plain + b"\r\n" + half,
+            "bad-chunk": plain + b"Transfer-Encoding: chunked\r\n\r\n5\r\n" + whole[:5] + b"\r\nnonsense\r\n",
+            "garbage": stated + whole + b"garbage garbage garbage",
+            "twice": (stated + whole) * 2,
+            "interim": b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + stated + whole,
+        }.get(self.answer)
+        if wrong is None:
+            await self.stream(writer, gone, work, 0 if self.answer == "ignore-resume" else skip)
+            return
+        writer.write(wrong)
+        await writer.drain()
+
+    async def stream(self, writer, gone, work, skip):
+        name, tokens, pause, padding, stream_id = work
+        headers = {"Stream-Id": stream_id} if stream_id else {}
+        if skip:
+            self.resumed += 1
+            headers["Resumed-At"] = skip
+        await start_chunked(writer, "text/plain", headers)
         sent = 0
         start = time.monotonic()
         for index in range(tokens):
@@ -116,7 +176,7 @@
             if self.break_after is not None and index >= self.break_after:
                 self.break_after = None
                 raise ConnectionError("told to break")
-            data = f"{name}:{index} ".encode()
+            data = f"{name}:{index} ".encode() + b"x" * padding
             if sent + len(data) > skip:
                 await write_chunk(writer, data[max(0, skip - sent):])
             sent += len(data)
@@ -134,7 +194,7 @@
     options = parser.parse_args()
     engines = [(int(port), Engine(options.slots, options.report_lag_ms / 1000, options.checks_fencing))
                for port in options.ports.split(",")]
-    await asyncio.gather(*(serve(port, engine.handle) for port, engine in engines))
+    await asyncio.gather(*(serve(port, engine.handle, greet=engine.greeting) for port, engine in engines))
 
 
 if __name__ == "__main__":
--- a/tests/standins/http_server.py
+++ b/tests/standins/http_server.py
@@ -48,9 +48,10 @@
     await writer.drain()
 
 
-async def start_chunked(writer, content_type):
+async def start_chunked(writer, content_type, headers=None):
     """Writes the head of a response that goes on in chunks."""
-    writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: {content_type}\r\nTransfer-Encoding: chunked\r\n"
+    lines = "".join(f"{name}: {value}\r\n" for name, value in (headers or {}).items())
+    writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: {content_type}\r\nTransfer-Encoding: chunked\r\n{lines}"
                  "Connection: close\r\n\r\n".encode())
     await writer.drain()
 
@@ -61,12 +62,14 @@
     await writer.drain()
 
 
-async def serve(port, handler, address="127.0.0.1"):
+async def serve(port, handler, address="127.0.0.1", greet=None):
     """Serves connections, one request each. The handler gets the request and the streams; what it returns, if anything,
-    is written as the response."""
+    is written as the response. `greet` gives bytes to be written before any request has come."""
 
     async def connection(reader, writer):
         try:
+            if greet is not None:
+                writer.write(greet())
             request = await read_request(reader)
             response = await handler(request, reader, writer)
             if response is not None:
--- /dev/null
+++ b/tests/unit/attempt_policy.tests.cpp
@@ -0,0 +1,52 @@
+#include "kumquatbeam/decisions/attempt_policy.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace kumquatbeam;
+
+TEST_CASE("A whole answer is the reply, whatever went before [attempt_policy]")
+{
+    CHECK(verdictAfter({ .isComplete = true }) == attempt_verdict::Answer);
+    CHECK(verdictAfter({ .isComplete = true, .mayHaveRunBefore = true, .attempts = attemptLimit })
+        == attempt_verdict::Answer);
+}
+
+TEST_CASE("An attempt that proved not to have run is tried again, also for orders [attempt_policy]")
+{
+    CHECK(verdictAfter({ .isProvenNotRun = true, .isRepeatable = false }) == attempt_verdict::TryAgain);
+}
+
+TEST_CASE("An order that may have run is never tried again [attempt_policy]")
+{
+    CHECK(verdictAfter({ .isRepeatable = false }) == attempt_verdict::EndUnknown);
+    CHECK(verdictAfter({ .isProvenNotRun = true, .mayHaveRunBefore = true, .isRepeatable = false })
+        == attempt_verdict::EndUnknown);
+}
+
+TEST_CASE("A repeatable call is tried again only while no byte of its answer was relayed [attempt_policy]")
+{
+    CHECK(verdictAfter({ .isRepeatable = true }) == attempt_verdict::TryAgain);
+    CHECK(verdictAfter({ .isRepeatable = true, .relayed = { 1 } }) == attempt_verdict::EndUnknown);
+}
+
+TEST_CASE("An answer that has begun is resumed where the pool can, also after a refused resume [attempt_policy]")
+{
+    CHECK(verdictAfter({ .isRepeatable = true, .canResume = true, .relayed = { 1 } }) == attempt_verdict::Resume);
+    CHECK(verdictAfter({ .isProvenNotRun = true, .isRepeatable = true, .canResume = true, .relayed = { 1 } })
+        == attempt_verdict::Resume);
+}
+
+TEST_CASE("No attempt follows the last one, a caller that left or a deadline that passed [attempt_policy]")
+{
+    CHECK(verdictAfter({ .isProvenNotRun = true, .attempts = attemptLimit }) == attempt_verdict::EndNotRun);
+    CHECK(verdictAfter({ .isProvenNotRun = true, .isWanted = false }) == attempt_verdict::EndNotRun);
+    CHECK(verdictAfter({ .isRepeatable = true, .isWanted = false }) == attempt_verdict::EndUnknown);
+}
+
+TEST_CASE("A call is reported as not run only when no attempt of it may have run [attempt_policy]")
+{
+    CHECK(endingAfter({ .isProvenNotRun = true }) == attempt_verdict::EndNotRun);
+    CHECK(endingAfter({ .isProvenNotRun = true, .mayHaveRunBefore = true }) == attempt_verdict::EndUnknown);
+    CHECK(endingAfter({ .isProvenNotRun = true, .relayed = { 1 } }) == attempt_verdict::EndUnknown);
+    CHECK(endingAfter({}) == attempt_verdict::EndUnknown);
+}
--- /dev/null
+++ b/tests/unit/retry_budget.tests.cpp
@@ -0,0 +1,36 @@
+#include "kumquatbeam/decisions/retry_budget.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace kumquatbeam;
+
+TEST_CASE("A full budget pays for one burst of retries and no more [retry_budget]")
+{
+    retry_budget budget;
+    for (int retry = 0; retry < retry_budget::burst; ++retry)
+        CHECK(budget.tryWithdraw());
+    CHECK_FALSE(budget.tryWithdraw());
+}
+
+TEST_CASE("A spent budget allows one retry for a stated number of answers [retry_budget]")
+{
+    retry_budget budget;
+    while (budget.tryWithdraw()) { }
+    for (int answer = 1; answer < retry_budget::answersForRetry; ++answer)
+        budget.deposit();
+    CHECK_FALSE(budget.tryWithdraw());
+    budget.deposit();
+    CHECK(budget.tryWithdraw());
+    CHECK_FALSE(budget.tryWithdraw());
+}
+
+TEST_CASE("Answers do not fill the budget beyond its burst [retry_budget]")
+{
+    retry_budget budget;
+    for (int answer = 0; answer < 10 * retry_budget::answersForRetry; ++answer)
+        budget.deposit();
+    int retries = 0;
+    while (budget.tryWithdraw())
+        ++retries;
+    CHECK(retries == retry_budget::burst);
+}
--- /dev/null
+++ b/tests/unit/service_estimate.tests.cpp
@@ -0,0 +1,72 @@
+#include "kumquatbeam/decisions/service_estimate.hpp"
+
+#include <doctest/doctest.h>
+
+namespace {
+
+using namespace kumquatbeam;
+using namespace std::chrono_literals;
+
+const time_point start {};
+
+service_cost costOf(std::chrono::microseconds time)
+{
+    return { time.count() };
+}
+
+} // namespace
+
+TEST_CASE("A pool whose calls are unknown refuses none for its deadline [service_estimate]")
+{
+    const service_estimate estimate;
+    CHECK(estimate.shortest(start) == 0us);
+}
+
+TEST_CASE("Calls of one length are all expected to take it [service_estimate]")
+{
+    service_estimate estimate;
+    for (int call = 0; call < 100; ++call)
+        estimate.record(costOf(200ms), start);
+    CHECK(estimate.shortest(start) > 150ms);
+    CHECK(estimate.shortest(start) <= 200ms);
+}
+
+TEST_CASE("Calls of very different length shut out none of the short ones [service_estimate]")
+{
+    service_estimate estimate;
+    for (int call = 0; call < 100; ++call)
+        estimate.record(costOf(call % 2 == 0 ? 10ms : 2000ms), start);
+    CHECK(estimate.shortest(start) <= 10ms);
+}
+
+TEST_CASE("An estimate that no call confirms any more shuts out none [service_estimate]")
+{
+    service_estimate estimate;
+    for (int call = 0; call < 100; ++call)
+        estimate.record(costOf(200ms), start);
+    CHECK(estimate.shortest(start + service_estimate::validity) == 0us);
+}
+
+TEST_CASE("A queue that drains steadily is expected to go on so [drain_estimate]")
+{
+    drain_estimate estimate;
+    CHECK(estimate.startBehind(100, start) == start);
+    auto now = start;
+    for (int call = 0; call < 200; ++call) {
+        now += 50ms;
+        estimate.recordStart(10, now);
+    }
+    CHECK(estimate.startBehind(20, now) > now + 900ms);
+    CHECK(estimate.startBehind(20, now) < now + 1100ms);
+}
+
+TEST_CASE("Pauses without waiting calls say nothing about the drain [drain_estimate]")
+{
+    drain_estimate estimate;
+    auto now = start;
+    for (int call = 0; call < 200; ++call) {
+        now += 60s;
+        estimate.recordStart(0, now);
+    }
+    CHECK(estimate.startBehind(10, now) == now);
+}
