--- a/src/kumquatbeam/runtime/pause_detector.hpp
+++ b/src/kumquatbeam/runtime/arrival_clock.hpp
@@ -17,9 +17,9 @@
 
 /// Knows how long ago bytes that are read now may have arrived. A process that was paused finds them in its sockets,
 /// and the times left that they state count from before the pause.
-class pause_detector {
+class arrival_clock {
 public:
-    explicit pause_detector(time_point now)
+    explicit arrival_clock(time_point now)
         : m_lastTick(now)
         , m_arrivedAfter(now)
         , m_suspectUntil(time_point::min())
--- a/src/kumquatbeam/runtime/pause_watch.hpp
+++ b/src/kumquatbeam/runtime/arrival_watch.hpp
@@ -1,25 +1,25 @@
 #pragma once
 
-#include "kumquatbeam/runtime/pause_detector.hpp"
+#include "kumquatbeam/runtime/arrival_clock.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 namespace kumquatbeam {
 
-/// Ticks a pause detector on a duty's own thread.
-class pause_watch {
+/// Ticks an arrival clock on a duty's own thread.
+class arrival_watch {
 public:
-    explicit pause_watch(boost::asio::io_context& context)
+    explicit arrival_watch(boost::asio::io_context& context)
         : m_timer(context)
-        , m_detector(clock::now())
+        , m_arrivals(clock::now())
     {
     }
 
     /// Starts to tick; on the duty's thread or before it runs.
     void start()
     {
-        m_detector.tick(clock::now());
+        m_arrivals.tick(clock::now());
         m_timer.expires_after(pauseTickPeriod);
         m_timer.async_wait([this](const boost::system::error_code& error) {
             if (!error)
@@ -28,11 +28,11 @@
     }
 
     /// The time after which bytes that are read now have arrived.
-    time_point earliestArrival() { return m_detector.earliestArrival(clock::now()); }
+    time_point earliestArrival() { return m_arrivals.earliestArrival(clock::now()); }
 
 private:
     boost::asio::steady_timer m_timer;
-    pause_detector m_detector;
+    arrival_clock m_arrivals;
 };
 
 } // namespace kumquatbeam
--- a/tests/unit/pause_detector.tests.cpp
+++ b/tests/unit/arrival_clock.tests.cpp
@@ -1,4 +1,4 @@
-#include "kumquatbeam/runtime/pause_detector.hpp"
+#include "kumquatbeam/runtime/arrival_clock.hpp"
 
 #include <doctest/doctest.h>
 
@@ -11,46 +11,46 @@
 
 } // namespace
 
-TEST_CASE("Without a pause, bytes arrive when they are read [pause_detector]")
+TEST_CASE("Without a pause, bytes arrive when they are read [arrival_clock]")
 {
-    pause_detector detector(start);
+    arrival_clock arrivals(start);
     for (auto now = start; now < start + milliseconds(500); now += pauseTickPeriod) {
-        detector.tick(now);
-        CHECK(detector.earliestArrival(now) == now);
+        arrivals.tick(now);
+        CHECK(arrivals.earliestArrival(now) == now);
     }
 }
 
-TEST_CASE("After a pause, bytes may have arrived since its start, whichever is handled first [pause_detector]")
+TEST_CASE("After a pause, bytes may have arrived since its start, whichever is handled first [arrival_clock]")
 {
     const auto woken = start + milliseconds(2000);
-    pause_detector readFirst(start);
+    arrival_clock readFirst(start);
     CHECK(readFirst.earliestArrival(woken) == start);
     readFirst.tick(woken);
     CHECK(readFirst.earliestArrival(woken) == start);
 
-    pause_detector tickedFirst(start);
+    arrival_clock tickedFirst(start);
     tickedFirst.tick(woken);
     CHECK(tickedFirst.earliestArrival(woken) == start);
 }
 
-TEST_CASE("A pause is forgotten when its aftermath is over [pause_detector]")
+TEST_CASE("A pause is forgotten when its aftermath is over [arrival_clock]")
 {
     const auto woken = start + milliseconds(2000);
-    pause_detector detector(start);
+    arrival_clock arrivals(start);
     for (auto now = woken; now < woken + pauseAftermath; now += pauseTickPeriod) {
-        detector.tick(now);
-        CHECK(detector.earliestArrival(now) == start);
+        arrivals.tick(now);
+        CHECK(arrivals.earliestArrival(now) == start);
     }
     const auto later = woken + pauseAftermath;
-    detector.tick(later);
-    CHECK(detector.earliestArrival(later) == later);
+    arrivals.tick(later);
+    CHECK(arrivals.earliestArrival(later) == later);
 }
 
-TEST_CASE("Two pauses in a row count from the first [pause_detector]")
+TEST_CASE("Two pauses in a row count from the first [arrival_clock]")
 {
-    pause_detector detector(start);
+    arrival_clock arrivals(start);
     const auto woken = start + milliseconds(2000);
-    detector.tick(woken);
+    arrivals.tick(woken);
     const auto wokenAgain = woken + milliseconds(500);
-    CHECK(detector.earliestArrival(wokenAgain) == start);
+    CHECK(arrivals.earliestArrival(wokenAgain) == start);
 }
