Listen outside the kernel's own ports in scenarios

Cause: a scenario's router was not ready at its start once, on a machine where several fleets ran. Ports for listeners came from the range that the kernel gives to connections, and were given back before use.

That a connection had taken the port was not seen itself; the log of that run was gone.

Before: wait_ready said neither the exit code nor the log.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -22,6 +23,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 STANDINS = ROOT / "tests" / "standins"
 DOMAINS = ("north", "middle", "south")
+LISTENING_PORTS = (12000, 32000)
+GIVEN_PORTS = set()
 
 
 def build_folder():
@@ -30,13 +33,20 @@
 
 
 def free_ports(count, address="127.0.0.1"):
-    """Ports that nobody listened on a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((address, 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Ports that nobody listened on a moment ago, each given out once. They lie below those that the kernel gives to
+    connections, so that no connection of another process takes one before its listener starts."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*LISTENING_PORTS)
+        if (address, port) in GIVEN_PORTS:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((address, port))
+            except OSError:
+                continue
+        GIVEN_PORTS.add((address, port))
+        ports.append(port)
     return ports
 
 
@@ -183,7 +193,7 @@
             except OSError:
                 pass
             time.sleep(0.05)
-        raise RuntimeError(f"{router.name} is not ready: see {self.folder}")
+        raise RuntimeError(f"{router.name} is not ready, exit code {router.process.poll()}: {self.log_of(router.name)[-500:]}")
 
     def document(self):
         """The operators' document as it stands now."""
