--- a/tests/scenarios/at_most_once.py
+++ b/tests/scenarios/at_most_once.py
@@ -7,6 +7,7 @@
 import argparse
 import collections
 import json
+import pathlib
 import random
 import sys
 import time
@@ -198,6 +199,14 @@
     raise RuntimeError(f"{router.name} is not connected with its peers")
 
 
+def freeze_whole(running, router):
+    """Freezes a router and waits until every thread of it stands still; on a busy machine that takes a while."""
+    running.freeze(router)
+    tasks = pathlib.Path(f"/proc/{router.process.pid}/task")
+    while any(stat.read_text().rpartition(")")[2].split()[0] != "T" for stat in tasks.glob("*/stat")):
+        time.sleep(0.01)
+
+
 def check_directed(running, checks):
     """The cases that must hold one by one, before chance is let loose."""
     holder, other, account = running.routers[0], running.routers[1], running.accounts[0]
@@ -217,7 +226,7 @@
     checks.equal("another order under the same ticket is refused", place(other, ticket, "d2")[1:3], ("unknown", "ticket-reused"))
 
     ticket = ask_for_ticket(running, holder, account)
-    running.freeze(holder)
+    freeze_whole(running, holder)
     checks.equal("an order whose holder is frozen is unknown", place(other, ticket, "d3", 1000)[1], "unknown")
     time.sleep(1)
     running.thaw(holder)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -21,6 +22,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 STANDINS = ROOT / "tests" / "standins"
+LISTENING_PORTS = range(10000, 32768)
 DOMAINS = ("north", "middle", "south")
 
 
@@ -30,10 +32,16 @@
 
 
 def free_ports(count, address="127.0.0.1"):
-    """Ports that nobody listened on a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((address, 0))
+    """Ports that nobody listened on a moment ago. They lie below those that the system gives to outgoing connections, so
+    that a process which starts again finds its own port still free."""
+    sockets = []
+    while len(sockets) < count:
+        one = socket.socket()
+        try:
+            one.bind((address, random.choice(LISTENING_PORTS)))
+            sockets.append(one)
+        except OSError:
+            one.close()
     ports = [one.getsockname()[1] for one in sockets]
     for one in sockets:
         one.close()
