--- a/src/kumquatbeam/capacity/decision_slopes.cpp
+++ b/src/kumquatbeam/capacity/decision_slopes.cpp
@@ -10,6 +10,7 @@
     constexpr std::array<std::size_t, 4> accountCounts { 100, 400, 1600, 3500 };
     constexpr std::array<std::size_t, 4> endpointCounts { 70, 700, 2800, 7700 };
     constexpr std::array<std::size_t, 4> routerCounts { 4, 16, 67, 740 };
+    constexpr std::array<std::size_t, 4> backlogCounts { 10, 50, 150, 350 };
     constexpr std::array<std::size_t, 4> streamCounts { 100, 400, 1600, 3200 };
     constexpr fleet_size smallFleet { .accounts = 16, .endpoints = 16, .routers = 5 };
 
@@ -44,6 +45,36 @@
         return slope;
     }
 
+    capacity_slope requestByFleet(const capacity_options& options)
+    {
+        capacity_slope slope { "request-by-fleet", "part of the target", "processor us" };
+        for (const auto part : partsOfTarget)
+            slope.points.push_back({ part, requestTime(partOfTarget(part), options) });
+        return slope;
+    }
+
+    /// A call ends, the next one is chosen, and another request joins the queue, at a full endpoint.
+    capacity_slope requestByBacklog(const capacity_options& options)
+    {
+        capacity_slope slope { "request-by-backlog", "backlogged accounts", "processor us" };
+        for (const auto count : backlogCounts) {
+            auto size = smallFleet;
+            size.accounts = targetFleet.accounts;
+            size.endpoints = 1;
+            size.pools = 1;
+            sample_core core(size, options.strategy);
+            std::size_t next = 0;
+            for (std::size_t request = 0; request < targetSlots + count; ++request)
+                core.admit(next++ % count);
+            const auto cost = processorMicroseconds([&] {
+                core.finish();
+                core.admit(next++ % count);
+            });
+            slope.points.push_back({ static_cast<double>(count), cost });
+        }
+        return slope;
+    }
+
     double loadReportTime(const fleet_size& size, const capacity_options& options)
     {
         sample_core core(size, options.strategy);
@@ -73,6 +104,14 @@
         return slope;
     }
 
+    capacity_slope loadReportByFleet(const capacity_options& options)
+    {
+        capacity_slope slope { "load-report-by-fleet", "part of the target", "processor us" };
+        for (const auto part : partsOfTarget)
+            slope.points.push_back({ part, loadReportTime(partOfTarget(part), options) });
+        return slope;
+    }
+
     capacity_slope heartbeatRound(const capacity_options& options)
     {
         capacity_slope slope { "heartbeat-round", "connected peers", "processor us" };
@@ -117,8 +156,11 @@
     constexpr auto table = std::to_array<slope_row>({
         { "request-by-accounts", requestByAccounts },
         { "request-by-endpoints", requestByEndpoints },
+        { "request-by-fleet", requestByFleet },
+        { "request-by-backlog", requestByBacklog },
         { "load-report-by-endpoints", loadReportByEndpoints },
         { "load-report-by-accounts", loadReportByAccounts },
+        { "load-report-by-fleet", loadReportByFleet },
         { "heartbeat-round", heartbeatRound },
         { "core-memory", coreMemory },
         { "stream-memory", streamMemory },
--- a/src/kumquatbeam/capacity/document_slopes.cpp
+++ b/src/kumquatbeam/capacity/document_slopes.cpp
@@ -7,22 +7,11 @@
 
 namespace {
 
-    constexpr std::array<double, 4> partsOfTarget { 0.125, 0.25, 0.5, 1.0 };
-
-    fleet_size scaledTarget(double part)
-    {
-        auto size = targetFleet;
-        size.accounts = static_cast<std::size_t>(static_cast<double>(size.accounts) * part);
-        size.endpoints = static_cast<std::size_t>(static_cast<double>(size.endpoints) * part);
-        size.routers = static_cast<std::size_t>(static_cast<double>(size.routers) * part);
-        return size;
-    }
-
     capacity_slope documentSize(const capacity_options&)
     {
         capacity_slope slope { "document-size", "part of the target", "bytes" };
         for (const auto part : partsOfTarget)
-            slope.points.push_back({ part, static_cast<double>(sampleDocument(scaledTarget(part)).size()) });
+            slope.points.push_back({ part, static_cast<double>(sampleDocument(partOfTarget(part)).size()) });
         return slope;
     }
 
@@ -30,7 +19,7 @@
     {
         capacity_slope slope { "member-list-size", "routers", "bytes" };
         for (const auto part : partsOfTarget) {
-            const auto size = scaledTarget(part);
+            const auto size = partOfTarget(part);
             slope.points.push_back(
                 { static_cast<double>(size.routers), static_cast<double>(sampleMembers(size).size()) });
         }
@@ -41,7 +30,7 @@
     {
         capacity_slope slope { "document-parse", "bytes", "processor us" };
         for (const auto part : partsOfTarget) {
-            const auto text = sampleDocument(scaledTarget(part));
+            const auto text = sampleDocument(partOfTarget(part));
             const auto cost = processorMicroseconds([&] { static_cast<void>(parseDocument({ 1 }, text)); });
             slope.points.push_back({ static_cast<double>(text.size()), cost });
         }
@@ -52,7 +41,7 @@
     {
         capacity_slope slope { "document-memory", "bytes", "bytes" };
         for (const auto part : partsOfTarget) {
-            const auto text = sampleDocument(scaledTarget(part));
+            const auto text = sampleDocument(partOfTarget(part));
             const auto before = allocatedBytes();
             const auto verdict = parseDocument({ 1 }, text);
             slope.points.push_back({ static_cast<double>(text.size()), allocatedBytes() - before });
@@ -64,7 +53,7 @@
     {
         capacity_slope slope { "document-change", "bytes", "processor us" };
         for (const auto part : partsOfTarget) {
-            const auto size = scaledTarget(part);
+            const auto size = partOfTarget(part);
             sample_core core(size, options.strategy);
             const auto cost = processorMicroseconds([&] { core.changeDocument(); });
             slope.points.push_back({ static_cast<double>(sampleDocument(size).size()), cost });
--- a/src/kumquatbeam/capacity/fleet_sample.cpp
+++ b/src/kumquatbeam/capacity/fleet_sample.cpp
@@ -1,6 +1,7 @@
 #include "kumquatbeam/capacity/fleet_sample.hpp"
 
 #include "kumquatbeam/types/credential_digest.hpp"
+#include "kumquatbeam/types/invariant.hpp"
 
 #include <absl/strings/str_format.h>
 
@@ -47,8 +48,20 @@
 
 } // namespace
 
+fleet_size partOfTarget(double part)
+{
+    const auto scaled
+        = [part](std::size_t count) { return static_cast<std::size_t>(static_cast<double>(count) * part); };
+    auto size = targetFleet;
+    size.accounts = scaled(size.accounts);
+    size.endpoints = scaled(size.endpoints);
+    size.routers = scaled(size.routers);
+    return size;
+}
+
 std::string sampleDocument(const fleet_size& size)
 {
+    KUMQUATBEAM_INVARIANT(size.pools > 0 && size.domains > 0);
     std::string text;
     for (std::size_t index = 0; index < size.accounts; ++index)
         text += absl::StrFormat("[account %s]\nowner=accounts\nshare=%d\ncredential-sha256=%s\n", accountName(index),
--- a/src/kumquatbeam/capacity/fleet_sample.hpp
+++ b/src/kumquatbeam/capacity/fleet_sample.hpp
@@ -3,6 +3,7 @@
 #include "kumquatbeam/controllers/decision_core.hpp"
 #include "kumquatbeam/decisions/capacity_strategy.hpp"
 
+#include <array>
 #include <cstddef>
 #include <string>
 #include <utility>
@@ -21,6 +22,12 @@
 /// The fleet that the users' letter asks for.
 inline constexpr fleet_size targetFleet { .accounts = 3500, .endpoints = 7700, .routers = 740 };
 
+/// Parts of the target that slopes over the whole fleet are measured at.
+inline constexpr std::array<double, 4> partsOfTarget { 0.125, 0.25, 0.5, 1.0 };
+
+/// The target with that part of its accounts, endpoints and routers.
+fleet_size partOfTarget(double part);
+
 /// Calls that one endpoint of the target runs at once.
 inline constexpr std::size_t targetSlots = 80;
 
--- a/src/kumquatbeam/controllers/duration_meter.cpp
+++ b/src/kumquatbeam/controllers/duration_meter.cpp
@@ -35,8 +35,9 @@
     if (result.count < markers)
         return result;
     const auto estimates = accumulators::extended_p_square(m_seconds);
-    for (std::size_t index = 0; index < probabilities.size(); ++index)
-        result.quantiles.push_back({ probabilities[index], estimates[index] });
+    auto estimate = estimates.begin();
+    for (const auto probability : probabilities)
+        result.quantiles.push_back({ probability, *estimate++ });
     return result;
 }
 
--- a/src/kumquatbeam/decisions/capacity_strategy.cpp
+++ b/src/kumquatbeam/decisions/capacity_strategy.cpp
@@ -41,6 +41,7 @@
 std::vector<std::string_view> capacityStrategyNames()
 {
     std::vector<std::string_view> names;
+    names.reserve(strategyTable.size());
     for (const auto& row : strategyTable)
         names.push_back(row.name);
     return names;
--- a/src/kumquatbeam/settings/setting_row.hpp
+++ b/src/kumquatbeam/settings/setting_row.hpp
@@ -138,13 +138,18 @@
 inline constexpr std::array textErrors { failure_kind::ValueOutOfRange };
 inline constexpr std::array flagErrors { failure_kind::MalformedValue };
 
+/// A type whose settings are texts: a string, a strong value over one, or the names of an enumeration.
+template <typename Value>
+concept text_setting = std::is_enum_v<Value> || std::is_convertible_v<Value, std::string_view> || requires
+{
+    requires std::is_convertible_v<decltype(Value::value), std::string_view>;
+};
+
 template <typename Value> constexpr std::span<const failure_kind> errorsOf()
 {
     if constexpr (std::is_same_v<Value, bool>)
         return flagErrors;
-    else if constexpr (std::is_enum_v<Value> || std::is_convertible_v<Value, std::string_view>)
-        return textErrors;
-    else if constexpr (requires(Value member) { std::string_view(member.value); })
+    else if constexpr (text_setting<Value>)
         return textErrors;
     else
         return numberErrors;
--- a/tests/scenarios/operator_view.py
+++ b/tests/scenarios/operator_view.py
@@ -54,6 +54,26 @@
         checks.equal("an unreachable router is told", program("status", f"{router.address}:1")[0], 4)
 
 
+def check_log_rate(checks):
+    account = fleet.Account("chatty")
+    with fleet.Fleet(routers=1, engines=1, services=0, accounts=[account], settings={"log-rate": 3}) as running:
+        router = running.routers[0]
+        for call in range(10):
+            running.call(router, account, "model", "/generate", f"id={call} tokens=1 ms=1")
+        time.sleep(1.2)
+        running.call(router, account, "model", "/generate", "id=last tokens=1 ms=1")
+        checks.true("lines beyond the log rate are dropped and counted",
+                    wait_until(lambda: "log: dropped lines=" in running.log_of(router.name)))
+        lines = running.log_of(router.name).count("placement: request=")
+        checks.at_most("placements in the log", lines, 8)
+
+        running.extra_settings = {"strategy": "guesses"}
+        running.kill(router)
+        running.start_router(router)
+        checks.equal("an unknown strategy is refused at the start", router.process.wait(10), 3)
+        checks.true("with the names that are allowed", "allowed local-only, " in running.log_of(router.name))
+
+
 def wait_until(holds, seconds=10):
     deadline = time.monotonic() + seconds
     while time.monotonic() < deadline:
@@ -98,6 +118,7 @@
     checks = Checks("operator view")
     check_documents(checks)
     check_running(checks)
+    check_log_rate(checks)
     return checks.conclude()
 
 
