--- a/src/kumquatbeam/decisions/slot_arbiter.cpp
+++ b/src/kumquatbeam/decisions/slot_arbiter.cpp
@@ -1,6 +1,5 @@
 #include "kumquatbeam/decisions/slot_arbiter.hpp"
 
-#include "kumquatbeam/types/invariant.hpp"
 #include "kumquatbeam/types/wire_key.hpp"
 
 #include <algorithm>
@@ -121,8 +120,8 @@
 void slot_arbiter::dropLost(const pool_view& view, time_point now)
 {
     for (auto& [id, router] : m_routers) {
-        const auto row = std::find_if(
-            view.routers.begin(), view.routers.end(), [&](const auto& candidate) { return candidate.router == id; });
+        const auto row = std::find_if(view.routers.begin(), view.routers.end(),
+            [&name = id](const router_presence& candidate) { return candidate.router == name; });
         router.isReachable = row != view.routers.end() && row->isReachable;
         if (router.isReachable)
             continue;
