Confirm lowered leases ahead of the beat and say quotas on the beat only

Ruled out: a shorter beat, which costs more traffic. Before: a lowered lease was confirmed by a whole report to every arbiter, and each urgent division sent quotas too. After: only the arbiter of the lease is told, up to eight times a beat, and new quotas wait for the beat.

--- a/src/kumquatbeam/decisions/leased_quotas.cpp
+++ b/src/kumquatbeam/decisions/leased_quotas.cpp
@@ -13,6 +13,9 @@
     /// Messages ahead of the beat: at most this many in one beat.
     constexpr int urgentMessagesPerBeat = 4;
 
+    /// A confirmed lease frees slots for others and is short, so more of these may be sent in one beat.
+    constexpr int confirmationsPerBeat = 8;
+
     const router_presence* findRouter(const pool_view& view, const entry_vm_id& id)
     {
         const auto row = std::find_if(view.routers.begin(), view.routers.end(),
@@ -29,9 +32,9 @@
     }
 
     /// The earliest time for a message ahead of the beat after one at `last`.
-    time_point urgentTime(time_point last, const pool_view& view, time_point now)
+    time_point urgentTime(time_point last, const pool_view& view, time_point now, int perBeat = urgentMessagesPerBeat)
     {
-        return last == time_point::min() ? now : std::max(now, last + view.beat / urgentMessagesPerBeat);
+        return last == time_point::min() ? now : std::max(now, last + view.beat / perBeat);
     }
 
 } // namespace
@@ -64,7 +67,7 @@
 
 time_point leased_quotas::nextBeat() const
 {
-    return std::min({ m_reportAt, m_divideAt, m_holder.nextEnd(), m_fallbackAt });
+    return std::min({ m_reportAt, m_confirmAt, m_divideAt, m_urgentDivideAt, m_holder.nextEnd(), m_fallbackAt });
 }
 
 std::vector<addressed_message> leased_quotas::beat(const pool_view& view, time_point now)
@@ -78,7 +81,9 @@
     appointArbiters(view, now);
     if (now >= m_reportAt)
         sendReports(view, now, messages);
-    if (now >= m_divideAt)
+    else if (now >= m_confirmAt)
+        confirmLeases(view, now, messages);
+    if (now >= std::min(m_divideAt, m_urgentDivideAt))
         sendGrants(view, now, messages);
     return messages;
 }
@@ -107,7 +112,7 @@
     for (auto& [domain, arbiter] : m_arbiters)
         isUrgent |= arbiter.receive(*sender, report);
     if (isUrgent)
-        m_divideAt = std::min(m_divideAt, urgentTime(m_dividedAt, view, now));
+        m_urgentDivideAt = std::min(m_urgentDivideAt, urgentTime(m_dividedAt, view, now));
 }
 
 void leased_quotas::receiveGrant(
@@ -122,8 +127,10 @@
     const auto before = m_holder.leasedIn(endpoint->domain);
     m_holder.accept(endpoint->domain, grant, now);
     // An arbiter can hand a slot on only when it knows that this router has let go of it.
-    if (m_holder.leasedIn(endpoint->domain) < before)
-        m_reportAt = std::min(m_reportAt, urgentTime(m_reportedAt, view, now));
+    if (m_holder.leasedIn(endpoint->domain) < before) {
+        m_unconfirmed.insert(endpoint->domain);
+        m_confirmAt = std::min(m_confirmAt, urgentTime(m_confirmedAt, view, now, confirmationsPerBeat));
+    }
 }
 
 const account_backlog* leased_quotas::nextAccount(const pool_view& view) const
@@ -201,25 +208,53 @@
         if (!arbiter.value.empty())
             receivers[arbiter].insert(domain);
     }
-    for (const auto& [arbiter, domains] : receivers) {
-        const auto* router = findRouter(view, arbiter);
-        auto report
-            = m_reporter.reportTo(arbiter, router ? router->life : incarnation {}, domains, view, m_holder, now);
-        if (!report)
-            continue;
-        if (arbiter == view.self)
-            receiveReport(arbiter, *report, view, now);
-        else
-            messages.push_back({ arbiter, std::move(*report) });
+    m_unconfirmed.clear();
+    m_confirmAt = never;
+    for (const auto& [arbiter, domains] : receivers)
+        sendReport(arbiter, domains, view, now, messages);
+}
+
+void leased_quotas::confirmLeases(const pool_view& view, time_point now, std::vector<addressed_message>& messages)
+{
+    m_confirmedAt = now;
+    m_confirmAt = never;
+    std::set<entry_vm_id> receivers;
+    for (const auto& domain : m_unconfirmed)
+        receivers.insert(m_assigned[domain]);
+    m_unconfirmed.clear();
+    for (const auto& arbiter : receivers) {
+        need_reporter::domain_set domains;
+        for (const auto& [domain, assigned] : m_assigned) {
+            if (assigned == arbiter)
+                domains.insert(domain);
+        }
+        if (!arbiter.value.empty())
+            sendReport(arbiter, domains, view, now, messages);
     }
 }
 
+void leased_quotas::sendReport(const entry_vm_id& arbiter, const need_reporter::domain_set& domains,
+    const pool_view& view, time_point now, std::vector<addressed_message>& messages)
+{
+    const auto* router = findRouter(view, arbiter);
+    auto report = m_reporter.reportTo(arbiter, router ? router->life : incarnation {}, domains, view, m_holder, now);
+    if (!report)
+        return;
+    if (arbiter == view.self)
+        receiveReport(arbiter, *report, view, now);
+    else
+        messages.push_back({ arbiter, std::move(*report) });
+}
+
 void leased_quotas::sendGrants(const pool_view& view, time_point now, std::vector<addressed_message>& messages)
 {
+    const auto cause = now >= m_divideAt ? division_cause::Beat : division_cause::Urgent;
     m_dividedAt = now;
-    m_divideAt = now + view.beat;
+    m_urgentDivideAt = never;
+    if (cause == division_cause::Beat)
+        m_divideAt = now + view.beat;
     for (auto& [domain, arbiter] : m_arbiters) {
-        for (auto& row : arbiter.divide(view, now)) {
+        for (auto& row : arbiter.divide(view, now, cause)) {
             if (row.to == view.self)
                 m_holder.accept(domain, row.grant, now);
             else
--- a/src/kumquatbeam/decisions/leased_quotas.hpp
+++ b/src/kumquatbeam/decisions/leased_quotas.hpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 namespace kumquatbeam {
 
@@ -35,6 +36,9 @@
     slot_count fallbackSlots(const pool_view&, std::size_t endpointIndex) const;
     void appointArbiters(const pool_view&, time_point now);
     void sendReports(const pool_view&, time_point now, std::vector<addressed_message>&);
+    void confirmLeases(const pool_view&, time_point now, std::vector<addressed_message>&);
+    void sendReport(const entry_vm_id& arbiter, const need_reporter::domain_set&, const pool_view&, time_point now,
+        std::vector<addressed_message>&);
     void sendGrants(const pool_view&, time_point now, std::vector<addressed_message>&);
 
     std::unique_ptr<arbiter_assignment> m_assignment;
@@ -48,6 +52,12 @@
     time_point m_fallbackAt = never;
     time_point m_reportAt = time_point::min();
     time_point m_reportedAt = time_point::min();
+    /// When arbiters hear that this router let go of slots, and which domains these are in.
+    time_point m_confirmAt = never;
+    time_point m_confirmedAt = time_point::min();
+    std::set<failure_domain_id> m_unconfirmed;
+    /// The next division on the beat, and one ahead of it.
+    time_point m_urgentDivideAt = never;
     time_point m_divideAt = time_point::min();
     time_point m_dividedAt = time_point::min();
 };
--- a/src/kumquatbeam/decisions/slot_arbiter.cpp
+++ b/src/kumquatbeam/decisions/slot_arbiter.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cmath>
 #include <limits>
+#include <numeric>
 
 namespace kumquatbeam {
 
@@ -71,7 +72,7 @@
     return isUrgent;
 }
 
-std::vector<addressed_grant> slot_arbiter::divide(const pool_view& view, time_point now)
+std::vector<addressed_grant> slot_arbiter::divide(const pool_view& view, time_point now, division_cause cause)
 {
     dropLost(view, now);
     updateLevels(view);
@@ -92,9 +93,10 @@
 
     std::vector<addressed_grant> grants;
     for (auto& [id, router] : m_routers) {
-        if (!router.isReachable || (!router.isChanged && now < router.renewAt))
+        const bool hasNews = router.hasNewLeases || (router.hasNewQuotas && cause == division_cause::Beat);
+        if (!router.isReachable || (!hasNews && now < router.renewAt))
             continue;
-        router.isChanged = false;
+        router.hasNewLeases = router.hasNewQuotas = false;
         // The holder counts from when it gets the message; a beat covers the way.
         router.leaseEndsAt = now + view.lease + view.beat;
         router.renewAt = now + view.lease / 2;
@@ -237,10 +239,7 @@
     std::vector<double> sums;
     std::vector<std::int32_t> previous;
     for (const auto& [id, parts] : targets) {
-        double sum = 0;
-        for (const auto part : parts)
-            sum += part;
-        sums.push_back(sum);
+        sums.push_back(std::accumulate(parts.begin(), parts.end(), 0.0));
         previous.push_back(m_routers.at(id).granted().value);
     }
     const auto rounded = roundToSlots(sums, previous, slots);
@@ -274,7 +273,7 @@
             if (quotas[index] == previous[index])
                 continue;
             router.needs[table.keys[index]].quota = static_cast<std::uint32_t>(quotas[index]);
-            router.isChanged = true;
+            router.hasNewQuotas = true;
         }
     }
 }
@@ -287,7 +286,7 @@
         for (auto& [id, router] : m_routers) {
             if (auto& held = router.slots[wireKeyOf(endpoint.endpoint)]; held.granted.value > 0) {
                 held.granted = {};
-                router.isChanged = true;
+                router.hasNewLeases = true;
             }
         }
     }
@@ -320,7 +319,7 @@
         if (!best)
             return;
         best->granted -= slot_count { 1 };
-        router.isChanged = true;
+        router.hasNewLeases = true;
         --excess;
     }
 }
@@ -346,7 +345,7 @@
     if (!best)
         return false;
     best->granted += slot_count { 1 };
-    router.isChanged = true;
+    router.hasNewLeases = true;
     return true;
 }
 
@@ -368,7 +367,7 @@
             if (endpoint.domain != m_domain || held == router.slots.end())
                 continue;
             const auto renewed = endpoint.isUsable ? held->second.leased : slot_count {};
-            router.isChanged |= held->second.granted != renewed;
+            router.hasNewLeases |= held->second.granted != renewed;
             held->second.granted = renewed;
         }
     }
--- a/src/kumquatbeam/decisions/slot_arbiter.hpp
+++ b/src/kumquatbeam/decisions/slot_arbiter.hpp
@@ -16,6 +16,14 @@
     slot_grant grant;
 };
 
+/// Why an arbiter divides.
+enum class division_cause {
+    /// Its time has come: what changed only in quotas is said too.
+    Beat,
+    /// A holder needs or freed slots: only leases that changed are said, and quotas wait for the beat.
+    Urgent,
+};
+
 /// Arbitrates the slots of one pool in one failure domain between the routers of the fleet.
 class slot_arbiter {
 public:
@@ -26,7 +34,7 @@
     bool receive(const router_presence& from, const slot_report&);
 
     /// Divides the slots and returns the grants that say something new or renew a lease.
-    std::vector<addressed_grant> divide(const pool_view&, time_point now);
+    std::vector<addressed_grant> divide(const pool_view&, time_point now, division_cause = division_cause::Beat);
 
     /// Normalised service of the account: slot-microseconds for each thousandth of a share.
     double normalisedService(const account_backlog&) const;
@@ -56,7 +64,8 @@
         /// After this time a router that does not answer holds nothing any more.
         time_point leaseEndsAt = time_point::min();
         time_point renewAt = time_point::min();
-        bool isChanged = false;
+        bool hasNewLeases = false;
+        bool hasNewQuotas = false;
 
         slot_count granted() const;
     };
--- a/tests/unit/leased_quotas.tests.cpp
+++ b/tests/unit/leased_quotas.tests.cpp
@@ -146,6 +146,25 @@
     CHECK_FALSE(strategy.beat(view, startOfTest + testBeat / 4).empty());
 }
 
+TEST_CASE("A holder that must let go of slots tells their arbiter ahead of the beat [leased_quotas]")
+{
+    const auto names = namesByDuty();
+    auto view = memberView(names.other);
+    leased_quotas strategy;
+    strategy.beat(view, startOfTest);
+    strategy.receive({ names.arbiter }, grantOf(4, 4, 8, 0), view, startOfTest);
+    strategy.beat(view, startOfTest + testBeat);
+    const auto lowered = startOfTest + testBeat + testBeat / 2;
+    strategy.receive({ names.arbiter }, grantOf(4, 2, 6, 0), view, lowered);
+    REQUIRE(strategy.nextBeat() == lowered);
+    const auto messages = strategy.beat(view, lowered);
+    REQUIRE(messages.size() == 1);
+    const auto& report = std::get<slot_report>(messages.front().message);
+    CHECK(report.accounts.empty());
+    REQUIRE(report.endpoints.size() == 1);
+    CHECK(report.endpoints.front().leased == slot_count { 2 });
+}
+
 TEST_CASE("A report says only what has changed [leased_quotas]")
 {
     const auto names = namesByDuty();
--- a/tests/unit/slot_arbiter.tests.cpp
+++ b/tests/unit/slot_arbiter.tests.cpp
@@ -214,3 +214,19 @@
     CHECK(quotaIn(test.granted["r3"], "small") == allSlots / 2);
     CHECK(quotaIn(test.granted["r2"], "large") == allSlots / 2);
 }
+
+TEST_CASE("Ahead of the beat only new leases are said, and new quotas follow on the beat [slot_arbiter]")
+{
+    arbitration test;
+    test.report("r2", reportOf("large", 100));
+    test.divide(startOfTest);
+    test.confirm("r2", reportOf("large", 100));
+
+    // The same router gets more accounts: its leases stay, its quotas change.
+    test.report("r2", reportOf("small", 100));
+    CHECK(test.arbiter.divide(test.view, startOfTest + testBeat / 4, division_cause::Urgent).empty());
+    const auto grants = test.arbiter.divide(test.view, startOfTest + testBeat);
+    REQUIRE(grants.size() == 1);
+    CHECK(grants.front().to == entry_vm_id { "r2" });
+    CHECK(quotaIn(grants.front().grant, "small") == 2);
+}
