--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -22,8 +22,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 STANDINS = ROOT / "tests" / "standins"
-DOMAINS = ("north", "middle", "south")
 LISTENING_PORTS = (12000, 32000)
+DOMAINS = ("north", "middle", "south")
 GIVEN_PORTS = set()
 
 
