--- a/src/kumquatbeam/capacity/fleet_sample.cpp
+++ b/src/kumquatbeam/capacity/fleet_sample.cpp
@@ -129,6 +129,17 @@
 {
     handle(document_published { { m_revision }, m_document });
     handle(members_published { { 1 }, sampleMembers(size) });
+    passHearing();
+}
+
+void sample_core::passHearing()
+{
+    // In steps, since a gap between two turns would be taken for a pause of the process.
+    constexpr std::chrono::milliseconds step { 500 };
+    while (m_ahead < document_catch_up::hearingLimit) {
+        m_ahead += step;
+        m_core.onDeadline(now());
+    }
 }
 
 request_id sample_core::admit(std::size_t account)
@@ -138,7 +149,7 @@
     call->pool = { poolName(0) };
     call->target = "/generate";
     call->body = "prompt";
-    call->deadline = clock::now() + sampleDeadline;
+    call->deadline = now() + sampleDeadline;
     const request_id id { ++m_lastRequest };
     handle(request_arrived { id, std::move(call) });
     return id;
--- a/src/kumquatbeam/capacity/fleet_sample.hpp
+++ b/src/kumquatbeam/capacity/fleet_sample.hpp
@@ -73,10 +73,10 @@
 public:
     sample_core(const fleet_size&, const std::string& strategy);
 
-    void handle(const decision_event& event) { m_core.handle(event, clock::now()); }
+    void handle(const decision_event& event) { m_core.handle(event, now()); }
 
     /// Has every deadline come due.
-    void beat() { m_core.onDeadline(std::max(clock::now(), m_core.nextDeadline())); }
+    void beat() { m_core.onDeadline(std::max(now(), m_core.nextDeadline())); }
 
     /// Admits one request of account number `account`.
     request_id admit(std::size_t account);
@@ -90,6 +90,11 @@
     const silent_outlet& outlet() const { return m_outlet; }
 
 private:
+    time_point now() const { return clock::now() + m_ahead; }
+    void passHearing();
+
+    /// How far the core's clock is ahead: it has to wait for peers that never speak before its document is in force.
+    std::chrono::milliseconds m_ahead { 0 };
     std::string m_document;
     silent_outlet m_outlet;
     decision_core m_core;
--- a/src/kumquatbeam/controllers/membership_controller.cpp
+++ b/src/kumquatbeam/controllers/membership_controller.cpp
@@ -67,6 +67,21 @@
     }
 }
 
+std::vector<router_presence> membership_controller::routers() const
+{
+    std::map<entry_vm_id, router_presence> known;
+    for (const auto& [id, vm] : m_members.entryVms)
+        known[id] = { id, vm.domain, isReachable(id), {} };
+    for (const auto& [id, greeting] : m_connected)
+        known[id] = { id, greeting.domain, isReachable(id), greeting.life };
+    known[m_settings.self] = { m_settings.self, m_settings.domain, true, {} };
+
+    std::vector<router_presence> rows;
+    for (auto& [id, presence] : known)
+        rows.push_back(std::move(presence));
+    return rows;
+}
+
 bool membership_controller::isReachable(const entry_vm_id& peer) const
 {
     const auto listed = m_members.entryVms.find(peer);
--- a/src/kumquatbeam/controllers/membership_controller.hpp
+++ b/src/kumquatbeam/controllers/membership_controller.hpp
@@ -2,6 +2,7 @@
 
 #include "kumquatbeam/controllers/configuration_controller.hpp"
 #include "kumquatbeam/controllers/controller.hpp"
+#include "kumquatbeam/decisions/capacity_strategy.hpp"
 #include "kumquatbeam/decisions/leaving_endpoints.hpp"
 #include "kumquatbeam/settings/member_list.hpp"
 #include "kumquatbeam/settings/router_settings.hpp"
@@ -30,6 +31,10 @@
 
     const member_list& members() const { return m_members; }
 
+    /// The routers of the fleet as a strategy sees them, sorted by name: those that the platform lists, this one, and
+    /// connected peers. A router that starts while the platform is down has no list, and still has to serve.
+    std::vector<router_presence> routers() const;
+
     /// Whether any source has said that the endpoint is leaving.
     bool isLeaving(const endpoint_id& endpoint) const { return m_leaving.contains(endpoint); }
 
--- a/src/kumquatbeam/controllers/placement_controller.cpp
+++ b/src/kumquatbeam/controllers/placement_controller.cpp
@@ -359,11 +359,7 @@
         view.endpoints.push_back(std::move(row));
     }
     state.gate.setEndpoints(view);
-    for (const auto& [id, vm] : m_membership.members().entryVms) {
-        const auto peer = m_membership.connectedPeers().find(id);
-        const auto life = peer == m_membership.connectedPeers().end() ? incarnation {} : peer->second.life;
-        view.routers.push_back({ id, vm.domain, id == m_settings.self || m_membership.isReachable(id), life });
-    }
+    view.routers = m_membership.routers();
 }
 
 void placement_controller::dropOrphans(decision_context& context)
--- a/tests/scenarios/at_most_once.py
+++ b/tests/scenarios/at_most_once.py
@@ -182,12 +182,6 @@
     return running.service_counts()[0]["runs"]
 
 
-def ask_for_ticket(running, router, account):
-    _, headers, _ = fleet.http("POST", router.url("/v1/tickets/booking"), b"",
-                               {"Authorization": f"Bearer {account.credential}"})
-    return headers["Kumquatbeam-Ticket"]
-
-
 def wait_connected(running, router, timeout=20):
     """Waits until the router is connected with every other one."""
     deadline = time.monotonic() + timeout
@@ -219,13 +213,13 @@
     status, headers, _ = running.call(holder, account, "booking", "/order", "order=none ms=20")
     checks.equal("an order without a ticket is refused unrun",
                  (status, headers["Kumquatbeam-Outcome"], headers["Kumquatbeam-Failure"]), (428, "not-run", "ticket-required"))
-    ticket = ask_for_ticket(running, holder, account)
+    ticket = running.ticket(holder, account)
     checks.equal("an order is answered", place(holder, ticket, "d1"), (200, "answered", None, b"order d1 done\n"))
     checks.equal("a retry through another router gets the same answer", place(other, ticket, "d1"),
                  (200, "answered", None, b"order d1 done\n"))
     checks.equal("another order under the same ticket is refused", place(other, ticket, "d2")[1:3], ("unknown", "ticket-reused"))
 
-    ticket = ask_for_ticket(running, holder, account)
+    ticket = running.ticket(holder, account)
     freeze_whole(running, holder)
     checks.equal("an order whose holder is frozen is unknown", place(other, ticket, "d3", 1000)[1], "unknown")
     time.sleep(1)
@@ -234,7 +228,7 @@
     time.sleep(1)
     checks.equal("a holder that wakes late sends nothing past the deadline", runs_of(running).get("d3", 0), 0)
 
-    ticket = ask_for_ticket(running, holder, account)
+    ticket = running.ticket(holder, account)
     running.kill(holder)
     checks.equal("an order whose holder is gone is unknown", place(other, ticket, "d4")[1], "unknown")
     running.start_router(holder)
--- a/tests/scenarios/leaving.py
+++ b/tests/scenarios/leaving.py
@@ -15,10 +15,17 @@
     return [start for start in running.engine_counts()[engine]["started_at"] if start > moment]
 
 
+def wait_for_work(running, engine, timeout=10):
+    """Waits until the engine is given work; a fleet that has just started grants no slot for one lease. Returns now."""
+    deadline = time.time() + timeout
+    while time.time() < deadline and not starts_after(running, engine, time.time() - 0.5):
+        time.sleep(0.1)
+    return time.time()
+
+
 def check_source(running, checks, source, engine, tell):
     """Tells one source, and looks at the engine's own count of new work."""
-    time.sleep(1)
-    before = time.time()
+    before = wait_for_work(running, engine)
     checks.at_least(f"{source}: the endpoint has work before the news", len(starts_after(running, engine, before - 1)), 1)
     tell()
     told = time.time()
--- a/tests/scenarios/shutdown.py
+++ b/tests/scenarios/shutdown.py
@@ -13,7 +13,7 @@
 
 NOTICE_MS = 1500
 ENDING_BOUND_SECONDS = 20
-EXIT_INTERRUPTED = 5
+EXIT_INTERRUPTED = 6
 # More than the kernel keeps for a connection, so that the router still holds a part when the request has ended.
 REPLY_BYTES = 12_000_000
 BODY_LIMIT_BYTES = 16_000_000
@@ -68,8 +68,10 @@
         self.socket.connect((router.address, router.caller_port))
         self.name = "s" * REPLY_BYTES
         body = f"order={self.name} ms=1"
+        ticket = running.ticket(router, running.accounts[1])
         self.socket.sendall((f"POST /v1/call/booking/order HTTP/1.1\r\nHost: r\r\nContent-Length: {len(body)}\r\n"
-                             f"Authorization: Bearer {running.accounts[1].credential}\r\n\r\n{body}").encode())
+                             f"Authorization: Bearer {running.accounts[1].credential}\r\n"
+                             f"Kumquatbeam-Ticket: {ticket}\r\n\r\n{body}").encode())
         self.answer = b""
         self.thread = threading.Thread(target=self.read, daemon=True)
         self.thread.start()
--- a/tests/scenarios/whole_answers.py
+++ b/tests/scenarios/whole_answers.py
@@ -90,7 +90,8 @@
 
 def check_orders(checks, running):
     running.service_control(0, drop_after_run=1)
-    status, fields, _ = running.call(running.routers[0], running.accounts[0], "booking", "/order", "order=dropped ms=5")
+    status, fields, _ = running.call(running.routers[0], running.accounts[0], "booking", "/order", "order=dropped ms=5",
+                                     Kumquatbeam_Ticket=running.ticket(running.routers[0], running.accounts[0]))
     checks.equal("an order whose answer was lost is unknown", fields["Kumquatbeam-Outcome"], "unknown")
     checks.at_least("its status is an error", status, 500)
     checks.equal("and it ran once", running.service_counts()[0]["runs"]["dropped"], 1)
--- a/tests/unit/core_fixture.hpp
+++ b/tests/unit/core_fixture.hpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -49,6 +50,8 @@
     {
         handle(document_published { { 1 }, document(accountSettings) });
         handle(members_published { { 1 }, members() });
+        // The first document is held back until the peers have been heard or the wait for them has ended.
+        pass(document_catch_up::hearingLimit);
     }
 
     static std::string credentialOf(const std::string& account) { return "secret-of-" + account; }
@@ -58,9 +61,13 @@
     /// Moves the clock, and lets everything come due that is due by then.
     void pass(std::chrono::milliseconds time)
     {
-        now += time;
-        if (core.nextDeadline() <= now)
-            core.onDeadline(now);
+        // In steps, since a gap between two turns would be taken for a pause of the process.
+        constexpr std::chrono::milliseconds step { 500 };
+        for (const auto end = now + time; now < end;) {
+            now = std::min(end, now + step);
+            if (core.nextDeadline() <= now)
+                core.onDeadline(now);
+        }
     }
 
     void connectPeer(const std::string& name, incarnation peerIncarnation = peerLife)
@@ -155,6 +162,8 @@
         router_settings settings;
         settings.self = { "r1" };
         settings.domain = { "north" };
+        // Orders do not depend on how slots are divided; this strategy has them at once.
+        settings.strategy = "local-only";
         return settings;
     }
 
--- a/tests/unit/metrics.tests.cpp
+++ b/tests/unit/metrics.tests.cpp
@@ -73,7 +73,11 @@
     auto text = sampleDocument(size);
     text.replace(text.find("share=1000"), 10, "share=1000\nqueue-limit=1");
     text.replace(text.find("slots=80"), 8, "slots=1");
-    core.handle(document_published { { 1 }, text }, start);
+    const auto started = start - document_catch_up::hearingLimit;
+    core.handle(document_published { { 1 }, text }, started);
+    // In steps, since a gap between two turns would be taken for a pause of the process.
+    for (auto now = started; now <= start; now += std::chrono::milliseconds(500))
+        core.onDeadline(now);
     core.handle(document_published { { 2 }, "[shop a]\n" }, start);
     const auto arrive = [&](std::uint64_t id) {
         auto call = std::make_shared<call_request>();
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -302,6 +302,11 @@
                   **{name.replace("_", "-"): value for name, value in headers.items()}}
         return http(method, router.url(f"/v1/call/{pool}{target}"), body.encode(), fields, timeout)
 
+    def ticket(self, router, account, pool="booking"):
+        """An order ticket, as a caller would ask for it."""
+        fields = {"Authorization": f"Bearer {account.credential}"}
+        return http("POST", router.url(f"/v1/tickets/{pool}"), b"", fields)[1]["Kumquatbeam-Ticket"]
+
     def stop(self):
         for process in self.processes:
             if process.poll() is None:
