--- a/src/kumquatbeam/controllers/placement_controller.cpp
+++ b/src/kumquatbeam/controllers/placement_controller.cpp
@@ -9,24 +9,6 @@
 
 namespace kumquatbeam {
 
-namespace {
-
-    account_backlog* findAccount(pool_view& view, const client_account_id& id)
-    {
-        const auto row = std::lower_bound(view.accounts.begin(), view.accounts.end(), id,
-            [](const account_backlog& left, const client_account_id& right) { return left.account < right; });
-        return row != view.accounts.end() && row->account == id ? &*row : nullptr;
-    }
-
-    endpoint_capacity* findEndpoint(pool_view& view, const endpoint_id& id)
-    {
-        const auto row = std::lower_bound(view.endpoints.begin(), view.endpoints.end(), id,
-            [](const endpoint_capacity& left, const endpoint_id& right) { return left.endpoint < right; });
-        return row != view.endpoints.end() && row->endpoint == id ? &*row : nullptr;
-    }
-
-} // namespace
-
 placement_controller::placement_controller(const router_settings& settings,
     const configuration_controller& configuration, const membership_controller& membership)
     : m_settings(settings)
@@ -66,7 +48,7 @@
 {
     time_point earliest = never;
     for (const auto& [id, pool] : m_pools)
-        earliest = std::min({ earliest, pool.strategy->nextBeat(), pool.returnsAt, pool.hopelessAt });
+        earliest = std::min(earliest, pool.nextDeadline());
     return earliest;
 }
 
@@ -107,11 +89,7 @@
     const auto state = m_pools.find(pool);
     if (state == m_pools.end())
         return now;
-    const auto queue = state->second.queues.find(account);
-    const auto drain = state->second.drains.find(account);
-    if (queue == state->second.queues.end() || drain == state->second.drains.end())
-        return now;
-    return drain->second.startBehind(static_cast<std::int64_t>(queue->second.sizeBefore(urgencyClass)), now);
+    return state->second.expectedStart(account, urgencyClass, now);
 }
 
 bool placement_controller::canMeet(time_point deadline, const pool_id& pool, time_point startAt, time_point now) const
@@ -128,6 +106,8 @@
         end(request, notRun({ failure_kind::UnknownAccount, request.account.value }), context);
         return;
     }
+    if (account->waiting == 0)
+        pool.drains[request.account].recordIdle();
     pool.queues[request.account].push(request);
     ++account->waiting;
 }
@@ -164,28 +144,14 @@
         }
         if (auto* endpoint = findEndpoint(state->second.view, call.endpoint))
             endpoint->running -= slot_count { 1 };
-        recordAttempt(state->second, ended, context.now);
+        if (ended.outcome == attempt_outcome::Completed)
+            state->second.recordAnswer(ended.endpoint, ended.cost, context.now);
+        else if (ended.problem)
+            state->second.recordFailure(ended.endpoint, ended.problem->kind, context.now);
     }
     settle(std::move(call), ended, context);
 }
 
-void placement_controller::recordAttempt(pool_state& pool, const attempt_ended& ended, time_point now)
-{
-    if (ended.outcome == attempt_outcome::Completed) {
-        pool.gate.recordAnswer(ended.endpoint, now);
-        pool.retries.deposit();
-        pool.service.record(ended.cost, now);
-        return;
-    }
-    const auto kind = ended.problem ? ended.problem->kind : failure_kind::EndpointBroke;
-    // A deadline that passed or a caller that left says nothing about the endpoint; failed load probes tell of one that
-    // hangs.
-    const bool isEndpointsFault = kind == failure_kind::EndpointBroke || kind == failure_kind::EndpointUnreachable
-        || kind == failure_kind::EndpointRefused;
-    if (isEndpointsFault)
-        pool.gate.recordFailure(ended.endpoint, now);
-}
-
 void placement_controller::settle(running_call call, const attempt_ended& ended, decision_context& context)
 {
     const auto facts = factsOf(call, ended, context.now);
@@ -267,15 +233,6 @@
     }
 }
 
-void placement_controller::refreshDeadlines(pool_state& pool, time_point now) const
-{
-    pool.returnsAt = pool.gate.nextReturn(now);
-    time_point earliest = never;
-    for (const auto& [account, queue] : pool.queues)
-        earliest = std::min(earliest, queue.nextDeadline());
-    pool.hopelessAt = earliest == never ? never : earliest - pool.service.shortest(now);
-}
-
 void placement_controller::refreshUsable(pool_state& pool, time_point now) const
 {
     for (auto& row : pool.view.endpoints)
@@ -357,7 +314,9 @@
             while (auto request = queue.pop())
                 endUnplaced(std::move(*request), { failure_kind::UnknownAccount, account.value }, context);
         }
-        std::erase_if(pool.queues, [&](const auto& entry) { return !document->accounts.contains(entry.first); });
+        const auto isGone = [&](const auto& entry) { return !document->accounts.contains(entry.first); };
+        std::erase_if(pool.queues, isGone);
+        std::erase_if(pool.drains, isGone);
     }
     std::erase_if(m_pools, [&](const auto& entry) { return !document->pools.contains(entry.first); });
 }
@@ -369,7 +328,7 @@
         start(pool, *choice, context);
         refreshUsable(pool, context.now);
     }
-    refreshDeadlines(pool, context.now);
+    pool.refreshDeadlines(context.now);
 }
 
 void placement_controller::start(pool_state& pool, const placement_choice& choice, decision_context& context)
@@ -406,7 +365,7 @@
 void placement_controller::expire(pool_state& pool, decision_context& context)
 {
     for (auto& [id, queue] : pool.queues) {
-        for (auto& request : queue.removeExpired(context.now + pool.service.shortest(context.now))) {
+        for (auto& request : pool.removeHopeless(queue, context.now)) {
             --findAccount(pool.view, id)->waiting;
             endUnplaced(std::move(request), { failure_kind::DeadlinePassed }, context);
         }
--- a/src/kumquatbeam/controllers/placement_controller.hpp
+++ b/src/kumquatbeam/controllers/placement_controller.hpp
@@ -3,16 +3,11 @@
 #include "kumquatbeam/controllers/configuration_controller.hpp"
 #include "kumquatbeam/controllers/controller.hpp"
 #include "kumquatbeam/controllers/membership_controller.hpp"
-#include "kumquatbeam/decisions/account_queue.hpp"
 #include "kumquatbeam/decisions/attempt_policy.hpp"
-#include "kumquatbeam/decisions/capacity_strategy.hpp"
-#include "kumquatbeam/decisions/endpoint_gate.hpp"
-#include "kumquatbeam/decisions/retry_budget.hpp"
-#include "kumquatbeam/decisions/service_estimate.hpp"
+#include "kumquatbeam/decisions/pool_state.hpp"
 #include "kumquatbeam/settings/router_settings.hpp"
 
 #include <map>
-#include <memory>
 #include <unordered_map>
 
 namespace kumquatbeam {
@@ -39,20 +34,6 @@
     bool canMeet(time_point deadline, const pool_id&, time_point startAt, time_point now) const;
 
 private:
-    struct pool_state {
-        pool_view view;
-        std::unique_ptr<capacity_strategy> strategy;
-        std::map<client_account_id, account_queue> queues;
-        std::map<client_account_id, drain_estimate> drains;
-        service_estimate service;
-        endpoint_gate gate;
-        retry_budget retries;
-        /// When an ejected endpoint may be tried again.
-        time_point returnsAt = never;
-        /// When the next waiting request can no longer be answered by its deadline.
-        time_point hopelessAt = never;
-    };
-
     struct running_call {
         request_context context;
         endpoint_id endpoint;
@@ -64,13 +45,11 @@
     void enqueue(const request_context&, decision_context&);
     void abandon(request_id, decision_context&);
     void finishAttempt(const attempt_ended&, decision_context&);
-    static void recordAttempt(pool_state&, const attempt_ended&, time_point now);
     void settle(running_call, const attempt_ended&, decision_context&);
     attempt_facts factsOf(const running_call&, const attempt_ended&, time_point now) const;
     void answer(running_call, const attempt_ended&, decision_context&);
     void tryAgain(running_call, const attempt_facts&, decision_context&);
     void observe(const load_observed&, time_point now);
-    void refreshDeadlines(pool_state&, time_point now) const;
     void refreshUsable(pool_state&, time_point now) const;
     void receive(const peer_received&, decision_context&);
     void refreshViews();
--- /dev/null
+++ b/src/kumquatbeam/decisions/pool_state.cpp
@@ -0,0 +1,74 @@
+#include "kumquatbeam/decisions/pool_state.hpp"
+
+#include "kumquatbeam/types/failure.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace kumquatbeam {
+
+namespace {
+
+    /// What an endpoint answers for. A deadline that passed or a caller that left says nothing about the endpoint;
+    /// failed load probes tell of one that hangs.
+    constexpr std::array endpointFaults { failure_kind::EndpointBroke, failure_kind::EndpointUnreachable,
+        failure_kind::EndpointRefused };
+
+} // namespace
+
+void pool_state::recordAnswer(const endpoint_id& endpoint, service_cost cost, time_point now)
+{
+    gate.recordAnswer(endpoint, now);
+    retries.deposit();
+    service.record(cost, now);
+}
+
+void pool_state::recordFailure(const endpoint_id& endpoint, failure_kind kind, time_point now)
+{
+    if (std::find(endpointFaults.begin(), endpointFaults.end(), kind) != endpointFaults.end())
+        gate.recordFailure(endpoint, now);
+}
+
+void pool_state::refreshDeadlines(time_point now)
+{
+    returnsAt = gate.nextReturn(now);
+    time_point earliest = never;
+    for (const auto& [account, queue] : queues)
+        earliest = std::min(earliest, queue.nextDeadline());
+    hopelessAt = earliest == never ? never : earliest - service.shortest(now);
+}
+
+time_point pool_state::nextDeadline() const
+{
+    return std::min({ strategy->nextBeat(), returnsAt, hopelessAt });
+}
+
+std::vector<request_context> pool_state::removeHopeless(account_queue& queue, time_point now) const
+{
+    return queue.removeExpired(now + service.shortest(now));
+}
+
+time_point pool_state::expectedStart(const client_account_id& account, urgency urgencyClass, time_point now) const
+{
+    const auto queue = queues.find(account);
+    const auto drain = drains.find(account);
+    if (queue == queues.end() || drain == drains.end())
+        return now;
+    return drain->second.startBehind(static_cast<std::int64_t>(queue->second.sizeBefore(urgencyClass)), now);
+}
+
+account_backlog* findAccount(pool_view& view, const client_account_id& id)
+{
+    const auto row = std::lower_bound(view.accounts.begin(), view.accounts.end(), id,
+        [](const account_backlog& left, const client_account_id& right) { return left.account < right; });
+    return row != view.accounts.end() && row->account == id ? &*row : nullptr;
+}
+
+endpoint_capacity* findEndpoint(pool_view& view, const endpoint_id& id)
+{
+    const auto row = std::lower_bound(view.endpoints.begin(), view.endpoints.end(), id,
+        [](const endpoint_capacity& left, const endpoint_id& right) { return left.endpoint < right; });
+    return row != view.endpoints.end() && row->endpoint == id ? &*row : nullptr;
+}
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/decisions/service_estimate.hpp
+++ b/src/kumquatbeam/decisions/service_estimate.hpp
@@ -4,6 +4,7 @@
 #include "kumquatbeam/types/units.hpp"
 
 #include <chrono>
+#include <cstdint>
 
 namespace kumquatbeam {
 
@@ -32,6 +33,9 @@
     /// A call of the account has started; `waiting` are left.
     void recordStart(std::int64_t waiting, time_point now);
 
+    /// The queue was found empty: the time until the next start is no sign of its pace.
+    void recordIdle() { m_wasBacklogged = false; }
+
     /// When a call that joins behind `waiting` others starts, for all that is known.
     time_point startBehind(std::int64_t waiting, time_point now) const;
 
--- a/tests/scenarios/flood.py
+++ b/tests/scenarios/flood.py
@@ -47,7 +47,7 @@
 
 def others_of(running, name):
     return [Stream(running, account, f"{name}-{account.name}", OTHERS_LOAD * CAPACITY / OTHERS, tokens=TOKENS,
-                   pace_ms=PACE_MS) for account in running.accounts[1:]]
+                   pace_ms=PACE_MS, counts_when_made=True) for account in running.accounts[1:]]
 
 
 def answered(streams):
--- a/tests/scenarios/open_loop.py
+++ b/tests/scenarios/open_loop.py
@@ -22,15 +22,17 @@
     """Calls of one account at a fixed rate through all routers in turn."""
 
     def __init__(self, running, account, name, calls_a_second, deadline_ms=2000, urgency="normal", retries=0,
-                 tokens=10, pace_ms=20):
+                 tokens=10, pace_ms=20, counts_when_made=False):
         self.running, self.account, self.name = running, account, name
         self.calls_a_second, self.deadline_ms, self.urgency = calls_a_second, deadline_ms, urgency
         self.retries, self.tokens, self.pace_ms = retries, tokens, pace_ms
+        self.counts_when_made = counts_when_made
         self.routers = itertools.cycle(running.routers)
         self.tally = Tally()
 
     async def run(self, warm_up, seconds):
-        """Calls for `warm_up` and `seconds`; counts the calls that end after the warm-up and before the end."""
+        """Calls for `warm_up` and `seconds`; counts the calls that end, or were made, after the
+        warm-up and before the end."""
         began = time.monotonic()
         calls = []
         for number in range(int(self.calls_a_second * (warm_up + seconds))):
@@ -41,8 +43,9 @@
 
     async def call(self, number, counts_from, counts_to):
         for attempt in range(self.retries + 1):
+            made_at = time.monotonic()
             kind = await self.attempt(f"{self.name}-{number}-{attempt}")
-            if counts_from <= time.monotonic() < counts_to:
+            if counts_from <= (made_at if self.counts_when_made else time.monotonic()) < counts_to:
                 self.tally.made += 1
                 setattr(self.tally, kind, getattr(self.tally, kind) + 1)
             if kind == "answered":
--- a/tests/scenarios/retry_storm.py
+++ b/tests/scenarios/retry_storm.py
@@ -15,6 +15,9 @@
 # Goodput at three times the load may fall below that at the load of capacity by one part in twenty.
 GOODPUT_KEPT = 0.95
 
+# Retries that a router may make for a pool without an answer in between.
+RETRY_BURST = 32
+
 
 def goodput(running, name, load):
     """Answered calls a second at `load` times the capacity."""
@@ -26,6 +29,21 @@
     return stream
 
 
+def check_retry_budget(checks, running):
+    """Calls to endpoints that all refuse: each router retries a burst of them, and no more without answers."""
+    refused = lambda: sum(counts["refused"] for counts in running.engine_counts())
+    before = refused()
+    for index in range(ENGINES):
+        running.engine_control(index, refuse="yes")
+    calls = 200
+    for number in range(calls):
+        router = running.routers[number % len(running.routers)]
+        running.call(router, running.accounts[0], "model", "/generate", f"id=refused{number} tokens=1 ms=1")
+    checks.at_most("attempts at refusing endpoints", refused() - before, calls + RETRY_BURST * len(running.routers))
+    for index in range(ENGINES):
+        running.engine_control(index, refuse="no")
+
+
 def main():
     checks = Checks("retry storm")
     with fleet.Fleet(routers=2, engines=ENGINES, engine_slots=SLOTS, services=0, strategy="static-slices") as running:
@@ -35,6 +53,7 @@
         checks.at_least("goodput at three times the load, as a share of that at capacity",
                         round(thrice.tally.answered / max(1, once.tally.answered), 3), GOODPUT_KEPT)
         checks.equal("wrong answers", once.tally.wrong + thrice.tally.wrong, 0)
+        check_retry_budget(checks, running)
         checks.at_least("refusals that say when to come back", len(thrice.tally.retry_after), 1)
     return checks.conclude()
 
--- a/tests/unit/account_queue.tests.cpp
+++ b/tests/unit/account_queue.tests.cpp
@@ -43,3 +43,17 @@
     CHECK(expired.front().id == request_id { 1 });
     CHECK(queue.size() == 1);
 }
+
+TEST_CASE("A request that is tried again goes before the others of its class [account_queue]")
+{
+    account_queue queue;
+    queue.push(waitingRequest(1, urgency::Normal));
+    queue.push(waitingRequest(2, urgency::High));
+    queue.pushFront(waitingRequest(3, urgency::Normal));
+
+    CHECK(queue.sizeBefore(urgency::High) == 1);
+    CHECK(queue.sizeBefore(urgency::Normal) == 3);
+    CHECK(queue.pop()->id == request_id { 2 });
+    CHECK(queue.pop()->id == request_id { 3 });
+    CHECK(queue.pop()->id == request_id { 1 });
+}
--- a/tests/unit/service_estimate.tests.cpp
+++ b/tests/unit/service_estimate.tests.cpp
@@ -70,3 +70,12 @@
     }
     CHECK(estimate.startBehind(10, now) == now);
 }
+
+TEST_CASE("A queue that emptied by deadlines is not taken for a slow one later [drain_estimate]")
+{
+    drain_estimate estimate;
+    estimate.recordStart(5, start);
+    estimate.recordIdle();
+    estimate.recordStart(0, start + 60s);
+    CHECK(estimate.startBehind(10, start + 60s) == start + 60s);
+}
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -21,6 +22,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 STANDINS = ROOT / "tests" / "standins"
+LISTEN_PORTS = range(10000, 32000)
 DOMAINS = ("north", "middle", "south")
 
 
@@ -30,13 +32,18 @@
 
 
 def free_ports(count, address="127.0.0.1"):
-    """Ports that nobody listened on a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((address, 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Ports that nobody listened on a moment ago, below those that the system gives to outgoing connections: one of
+    these may be taken again before it is listened on."""
+    ports = []
+    while len(ports) < count:
+        port = random.choice(LISTEN_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((address, port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
