Give each fleet a block of ports of its own, so that scenarios run side by side

After: a block of ports is taken by holding its guard port. Scenarios that compare goodput or service still run alone.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -9,7 +9,6 @@
 import json
 import os
 import pathlib
-import random
 import shutil
 import signal
 import socket
@@ -22,9 +21,12 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 STANDINS = ROOT / "tests" / "standins"
-LISTENING_PORTS = (12000, 32000)
+
+# Ports to listen on are given out in blocks, so that fleets that run side by side never share one. A block is taken by
+# holding its guard port. All lie below the ports that the kernel gives to connections.
+GUARD_PORTS = range(11000, 11040)
+BLOCK_START, BLOCK_SIZE = 12000, 500
 DOMAINS = ("north", "middle", "south")
-GIVEN_PORTS = set()
 
 # Leases that a scenario does not have to wait long for. The document's own defaults are slower, to save control traffic.
 FAST_LEASES = "beat-ms=250\nlease-ms=1500\n"
@@ -35,20 +37,50 @@
     return pathlib.Path(os.environ.get("KUMQUATBEAM_BUILD", ROOT / "build" / "default"))
 
 
+class PortBlock:
+    """A block of ports that belongs to this process while it runs."""
+
+    def __init__(self):
+        self.guard = None
+        self.next_port = 0
+
+    def take(self):
+        """Takes the first block that no other process holds."""
+        for number, guard_port in enumerate(GUARD_PORTS):
+            guard = socket.socket()
+            try:
+                guard.bind(("127.0.0.1", guard_port))
+            except OSError:
+                guard.close()
+                continue
+            self.guard = guard
+            self.next_port = BLOCK_START + number * BLOCK_SIZE
+            return
+        raise RuntimeError("every block of ports is taken")
+
+    def give(self):
+        """The next port of the block."""
+        if self.guard is None:
+            self.take()
+        self.next_port += 1
+        if (self.next_port - BLOCK_START) % BLOCK_SIZE == 0:
+            raise RuntimeError("the block of ports is used up")
+        return self.next_port
+
+
+PORTS = PortBlock()
+
+
 def free_ports(count, address="127.0.0.1"):
-    """Ports that nobody listened on a moment ago, each given out once. They lie below those that the kernel gives to
-    connections, so that no connection of another process takes one before its listener starts."""
+    """Ports that nobody listens on, each given out once."""
     ports = []
     while len(ports) < count:
-        port = random.randrange(*LISTENING_PORTS)
-        if (address, port) in GIVEN_PORTS:
-            continue
+        port = PORTS.give()
         with socket.socket() as probe:
             try:
                 probe.bind((address, port))
             except OSError:
                 continue
-        GIVEN_PORTS.add((address, port))
         ports.append(port)
     return ports
 
