--- a/src/kumquatbeam/controllers/membership_controller.cpp
+++ b/src/kumquatbeam/controllers/membership_controller.cpp
@@ -77,6 +77,7 @@
     known[m_settings.self] = { m_settings.self, m_settings.domain, true, {} };
 
     std::vector<router_presence> rows;
+    rows.reserve(known.size());
     for (auto& [id, presence] : known)
         rows.push_back(std::move(presence));
     return rows;
