--- a/src/kumquatbeam/controllers/placement_controller.cpp
+++ b/src/kumquatbeam/controllers/placement_controller.cpp
@@ -236,13 +236,6 @@
 
 void placement_controller::receive(const peer_received& received, decision_context& context)
 {
-    const auto poolKeyOf = [](const peer_message& message) -> std::optional<wire_key> {
-        if (const auto* report = std::get_if<slot_report>(&message))
-            return report->pool;
-        if (const auto* grant = std::get_if<slot_grant>(&message))
-            return grant->pool;
-        return std::nullopt;
-    };
     const auto key = poolKeyOf(received.message);
     if (!key)
         return;
--- a/src/kumquatbeam/decisions/pool_state.cpp
+++ b/src/kumquatbeam/decisions/pool_state.cpp
@@ -82,4 +82,13 @@
     return row != view.endpoints.end() && row->endpoint == id ? &*row : nullptr;
 }
 
+std::optional<wire_key> poolKeyOf(const peer_message& message)
+{
+    if (const auto* report = std::get_if<slot_report>(&message))
+        return report->pool;
+    if (const auto* grant = std::get_if<slot_grant>(&message))
+        return grant->pool;
+    return std::nullopt;
+}
+
 } // namespace kumquatbeam
--- a/src/kumquatbeam/decisions/pool_state.hpp
+++ b/src/kumquatbeam/decisions/pool_state.hpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace kumquatbeam {
 
@@ -52,4 +53,7 @@
 endpoint_capacity* findEndpoint(pool_view&, const endpoint_id&);
 /// @}
 
+/// The pool that a peer's message is about, or nothing for messages about no pool.
+std::optional<wire_key> poolKeyOf(const peer_message&);
+
 } // namespace kumquatbeam
