Drop an accessor that nothing calls any more

Cause: the strategies' view of the routers moved into membership_controller::routers, which left members() without a caller. Behaviour is unchanged.

--- a/src/kumquatbeam/controllers/membership_controller.hpp
+++ b/src/kumquatbeam/controllers/membership_controller.hpp
@@ -29,8 +29,6 @@
     void onDeadline(decision_context&) override;
     void describe(status_report&) const override;
 
-    const member_list& members() const { return m_members; }
-
     /// The routers of the fleet as a strategy sees them, sorted by name: those that the platform lists, this one, and
     /// connected peers. A router that starts while the platform is down has no list, and still has to serve.
     std::vector<router_presence> routers() const;
