--- a/src/kumquatbeam/capacity/fleet_sample.hpp
+++ b/src/kumquatbeam/capacity/fleet_sample.hpp
@@ -55,6 +55,7 @@
 
     void placed(const placement_record&) override { }
     void refused(const refusal_record&) override { ++m_refusals; }
+    void ended(const outcome_record&) override { }
     void changed(const change_record&) override { }
     void failed(std::string_view, const failure&) override { }
 
--- a/src/kumquatbeam/codec/http_call.hpp
+++ b/src/kumquatbeam/codec/http_call.hpp
@@ -26,7 +26,4 @@
 http_request encodeAttempt(
     const call_request&, const std::string& host, const std::string& streamId, byte_count resumeAt);
 
-/// Text of a reply's kind on the wire.
-std::string_view nameOf(reply_kind);
-
 } // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/codec/own_dialect.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "kumquatbeam/codec/caller_dialect.hpp"
+#include "kumquatbeam/codec/endpoint_dialect.hpp"
+
+namespace kumquatbeam {
+
+/// The project's own interface towards callers, as `docs/CALLERS.md` has it.
+class own_caller_dialect final : public caller_dialect {
+public:
+    std::string_view readinessTarget() const override { return "/ready"; }
+    absl::StatusOr<call_request> decode(http_request&&, time_point arrivedAt) const override;
+    http_response encodeReply(const call_reply&, unsigned version, bool keepAlive, time_point now) const override;
+    boost::beast::http::response_header<> encodeAnswerHead(const answer_head&, unsigned version) const override;
+};
+
+/// The project's own interface towards endpoints, as `docs/ENDPOINTS.md` has it: a connection for each attempt.
+class own_endpoint_dialect final : public endpoint_dialect {
+public:
+    http_request encode(const start_attempt&, const std::string& streamId) const override;
+    void stateTimeLeft(http_request&, std::chrono::milliseconds) const override;
+    answer_verdict judge(const answer_header&, bool endsWithConnection, const start_attempt&,
+        const std::string& streamId) const override;
+    header_fields passedOn(const answer_header&) const override { return {}; }
+    std::optional<endpoint_load> loadOf(const answer_header&, const endpoint_id&) const override
+    {
+        return std::nullopt;
+    }
+    connection_terms termsOf(const answer_header&) const override { return {}; }
+};
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/codec/peer_codec.cpp
+++ b/src/kumquatbeam/codec/peer_codec.cpp
@@ -156,6 +156,31 @@
                 .Union() };
     }
 
+    tagged_body pack(builder& out, const fleet_beat& message, time_point)
+    {
+        std::vector<flatbuffers::Offset<frames::known_router>> known;
+        for (const auto& router : message.known) {
+            const auto id = out.CreateString(router.id.value);
+            known.push_back(frames::Createknown_router(out, id, out.CreateString(router.address)));
+        }
+        std::vector<frames::beat_endpoint> endpoints;
+        for (const auto& row : message.endpoints)
+            endpoints.emplace_back(row.endpoint.value, row.running, row.toRead.value);
+        std::vector<frames::beat_account> accounts;
+        for (const auto& row : message.accounts)
+            accounts.emplace_back(row.account.value, static_cast<std::uint32_t>(row.askedPerSecond.value));
+        const auto from = out.CreateString(message.from.value);
+        const auto domain = out.CreateString(message.domain.value);
+        const auto address = out.CreateString(message.address);
+        const auto knownRows = out.CreateVector(known);
+        const auto endpointRows = out.CreateVectorOfStructs(endpoints);
+        const auto accountRows = out.CreateVectorOfStructs(accounts);
+        return { frames::body::fleet_beat,
+            frames::Createfleet_beat(out, from, message.life.value, domain, address, message.sequence,
+                message.routes.value, message.isLeaving, knownRows, endpointRows, accountRows)
+                .Union() };
+    }
+
     std::optional<peer_message> unpack(const frames::greeting& body, time_point)
     {
         return peer_greeting { { unpackText(body.from()) }, { body.life() }, { unpackText(body.domain()) } };
@@ -248,6 +273,30 @@
         return message;
     }
 
+    std::optional<peer_message> unpack(const frames::fleet_beat& body, time_point)
+    {
+        fleet_beat message { .from = { unpackText(body.from()) },
+            .life = { body.life() },
+            .domain = { unpackText(body.domain()) },
+            .address = unpackText(body.address()),
+            .sequence = body.sequence(),
+            .routes = { body.routes() },
+            .isLeaving = body.is_leaving() };
+        if (body.known()) {
+            for (const auto* row : *body.known())
+                message.known.push_back({ { unpackText(row->id()) }, unpackText(row->address()) });
+        }
+        if (body.endpoints()) {
+            for (const auto* row : *body.endpoints())
+                message.endpoints.push_back({ { row->endpoint() }, row->running(), { row->to_read() } });
+        }
+        if (body.accounts()) {
+            for (const auto* row : *body.accounts())
+                message.accounts.push_back({ { row->account() }, { row->asked_per_second() } });
+        }
+        return message;
+    }
+
     std::optional<peer_message> unpackBody(const frames::frame& frame, time_point now)
     {
         switch (frame.body_type()) {
@@ -267,6 +316,8 @@
             return unpack(*frame.body_as_slot_report(), now);
         case frames::body::slot_grant:
             return unpack(*frame.body_as_slot_grant(), now);
+        case frames::body::fleet_beat:
+            return unpack(*frame.body_as_fleet_beat(), now);
         case frames::body::NONE:
             break;
         }
--- a/src/kumquatbeam/controllers/command.hpp
+++ b/src/kumquatbeam/controllers/command.hpp
@@ -3,11 +3,14 @@
 #include "kumquatbeam/controllers/status_report.hpp"
 #include "kumquatbeam/settings/member_list.hpp"
 #include "kumquatbeam/types/call.hpp"
+#include "kumquatbeam/types/caller_limits.hpp"
 #include "kumquatbeam/types/ids.hpp"
 #include "kumquatbeam/types/peer_message.hpp"
 #include "kumquatbeam/types/time.hpp"
 
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -25,6 +28,8 @@
     request_id id;
     endpoint_status status;
     std::string contentType;
+    /// Fields of the endpoint's answer that are passed on.
+    header_fields fields {};
 };
 
 /// The next bytes of an answer. The endpoint session reads on when the caller session has acknowledged them.
@@ -52,15 +57,34 @@
 /// Closes idle connections, and reports when everything is written and every connection is closed.
 struct finish_callers { };
 
+/// The limits that hold for callers from now on.
+struct set_caller_limits {
+    caller_limits limits;
+};
+
 /// Everything that the callers duty is told.
-using caller_command = std::variant<reply_to_caller, answer_head, answer_piece, answer_end, set_ready, begin_drain,
-    stop_accepting, finish_callers>;
+using caller_command = std::variant<reply_to_caller, answer_head, answer_piece, answer_end, set_ready,
+    set_caller_limits, begin_drain, stop_accepting, finish_callers>;
 
-/// Where an endpoint listens.
+/// Where one life of an endpoint listens.
 struct endpoint_address {
     endpoint_id endpoint;
     std::string address;
     std::int64_t port = 0;
+    /// When this life began, in the endpoint's own count; zero where endpoints do not say.
+    std::int64_t life = 0;
+
+    friend bool operator==(const endpoint_address&, const endpoint_address&) = default;
+};
+
+/// How an endpoint's answer gets to the caller.
+enum class answer_path {
+    /// In pieces as they come.
+    Pieces,
+    /// In whole events of an event stream as they come.
+    Events,
+    /// Kept whole for the decisions duty, which gives it to the caller.
+    Kept,
 };
 
 /// Has an endpoint run a call.
@@ -68,14 +92,20 @@
     request_id id;
     endpoint_address to;
     std::shared_ptr<const call_request> call;
+    /// The account that the call runs for; empty where the route asks for none.
+    client_account_id account {};
     /// After this time no first byte may be sent: the lease on the slot has ended.
     time_point sendBefore = never;
     /// After this time the attempt is given up.
     time_point deadline = never;
-    /// Whether the answer is kept whole for the decisions duty instead of relayed to the caller.
-    bool isBuffered = false;
+    answer_path path = answer_path::Pieces;
+    /// Whether a reset before the answer would leave open whether the call ran, so that a connection which the endpoint
+    /// may be closing is not good enough.
+    bool needsFreshConnection = false;
     /// Bytes that an earlier attempt has relayed; the endpoint is asked to go on from there.
     byte_count resumeAt {};
+    /// The last event that an earlier attempt has relayed; the endpoint is asked to go on after it.
+    std::optional<event_number> resumeAfter {};
 };
 
 /// Gives up an attempt and tells the endpoint.
@@ -93,8 +123,13 @@
     std::vector<endpoint_address> endpoints;
 };
 
+/// The endpoints that may be connected to from now on; kept connections to all others are closed.
+struct keep_endpoints {
+    std::vector<endpoint_address> endpoints;
+};
+
 /// Everything that the endpoints duty is told.
-using endpoint_command = std::variant<start_attempt, cancel_attempt, piece_consumed, watch_endpoints>;
+using endpoint_command = std::variant<start_attempt, cancel_attempt, piece_consumed, watch_endpoints, keep_endpoints>;
 
 /// The entry VMs to be connected with.
 struct set_peers {
--- /dev/null
+++ b/src/kumquatbeam/controllers/controller_loop.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "kumquatbeam/controllers/controller.hpp"
+
+#include <deque>
+#include <functional>
+#include <vector>
+
+namespace kumquatbeam {
+
+/// Shows every event, and every event that follows from it, to a list of controllers in their order.
+class controller_loop {
+public:
+    struct hooks {
+        /// Called at the start of each turn.
+        std::function<void(decision_context&)> turn {};
+        /// Sees each event before the controllers; false keeps it from them.
+        std::function<bool(const decision_event&, decision_context&)> event {};
+    };
+
+    controller_loop(command_outlet&, decision_log&, hooks);
+
+    /// Adds a controller behind the others. State that others read comes first.
+    void append(controller&);
+
+    void handle(const decision_event&, time_point now);
+    time_point nextDeadline() const;
+    void onDeadline(time_point now);
+
+    /// Handles what has been raised so far.
+    void settle(decision_context&);
+
+    /// Has every controller add what an operator wants to see.
+    void describe(status_report&) const;
+
+private:
+    void beginTurn(decision_context&);
+    void dispatch(const decision_event&, decision_context&);
+
+    command_outlet& m_commands;
+    decision_log& m_log;
+    hooks m_hooks;
+    std::deque<decision_event> m_raised;
+    std::vector<controller*> m_controllers;
+};
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/decision_core.cpp
+++ b/src/kumquatbeam/controllers/decision_core.cpp
@@ -1,6 +1,5 @@
 #include "kumquatbeam/controllers/decision_core.hpp"
 
-#include "kumquatbeam/controllers/decision_tap.hpp"
 #include "kumquatbeam/filters/account_filter.hpp"
 #include "kumquatbeam/filters/deadline_filter.hpp"
 #include "kumquatbeam/filters/drain_filter.hpp"
@@ -8,7 +7,6 @@
 #include "kumquatbeam/filters/pool_filter.hpp"
 #include "kumquatbeam/filters/queue_limit_filter.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace kumquatbeam {
@@ -16,21 +14,23 @@
 decision_core::decision_core(router_settings settings, incarnation life, command_outlet& commands, decision_log& log)
     : m_settings(std::move(settings))
     , m_life(life)
-    , m_commands(commands)
-    , m_log(log)
     , m_metrics(m_configuration)
     , m_membership(m_settings, m_configuration)
     , m_orders(m_settings.self, life, m_configuration, m_internalIds)
     , m_placement(m_settings, m_configuration, m_membership)
     , m_drain(m_settings)
+    , m_tap(commands, log, m_metrics)
+    , m_loop(m_tap, m_tap,
+          { [this](decision_context& context) { notePause(context); },
+              [this](const decision_event& event, decision_context& context) { return takeEvent(event, context); } })
 {
-    m_controllers.push_back(&m_configuration);
-    m_controllers.push_back(&m_metrics);
-    m_controllers.push_back(&m_membership);
-    m_controllers.push_back(&m_orders);
-    m_controllers.push_back(&m_placement);
-    m_controllers.push_back(&m_reply);
-    m_controllers.push_back(&m_drain);
+    m_loop.append(m_configuration);
+    m_loop.append(m_metrics);
+    m_loop.append(m_membership);
+    m_loop.append(m_orders);
+    m_loop.append(m_placement);
+    m_loop.append(m_reply);
+    m_loop.append(m_drain);
 
     m_chain.append(std::make_unique<account_filter>(m_configuration));
     m_chain.append(std::make_unique<pool_filter>(m_configuration));
@@ -42,31 +42,14 @@
 
 void decision_core::handle(const decision_event& event, time_point now)
 {
-    decision_tap tap(m_commands, m_log, m_metrics, now);
-    decision_context context { now, tap, tap, m_raised };
-    notePause(context);
-    dispatch(event, context);
-    settleRaised(context);
-}
-
-time_point decision_core::nextDeadline() const
-{
-    time_point earliest = never;
-    for (const auto* part : m_controllers)
-        earliest = std::min(earliest, part->nextDeadline());
-    return earliest;
+    m_tap.setTime(now);
+    m_loop.handle(event, now);
 }
 
 void decision_core::onDeadline(time_point now)
 {
-    decision_tap tap(m_commands, m_log, m_metrics, now);
-    decision_context context { now, tap, tap, m_raised };
-    notePause(context);
-    for (auto* part : m_controllers) {
-        if (part->nextDeadline() <= now)
-            part->onDeadline(context);
-    }
-    settleRaised(context);
+    m_tap.setTime(now);
+    m_loop.onDeadline(now);
 }
 
 void decision_core::notePause(decision_context& context)
@@ -74,23 +57,22 @@
     if (!m_pauses.noteTurn(context.now))
         return;
     m_membership.dropBeliefs(context);
-    settleRaised(context);
+    m_loop.settle(context);
 }
 
-void decision_core::dispatch(const decision_event& event, decision_context& context)
+bool decision_core::takeEvent(const decision_event& event, decision_context& context)
 {
     // What a peer said before the connection was lost, or before a pause, is not believed.
     const auto* received = std::get_if<peer_received>(&event);
     if (received && !m_membership.connectedPeers().contains(received->from))
-        return;
+        return false;
     const event_handlers handlers {
         [&](const request_arrived& arrived) { filterRequest({ .id = arrived.id, .call = arrived.call }, context); },
-        [&](const peer_received& received) { takeForwarded(received, context); },
+        [&](const peer_received& message) { takeForwarded(message, context); },
         [&](const status_requested& query) { reportStatus(query, context); },
     };
     std::visit(handlers, event);
-    for (auto* part : m_controllers)
-        part->handle(event, context);
+    return true;
 }
 
 void decision_core::takeForwarded(const peer_received& received, decision_context& context)
@@ -115,25 +97,19 @@
     m_metrics.observe(reply);
     m_orders.settleRefusal(request, reply, context.now);
     if (reply.problem)
-        context.log.refused({ request.id, request.account, request.call->pool, verdict->filter, *reply.problem });
+        context.log.refused({ .request = request.id,
+            .account = request.account,
+            .pool = request.call->pool,
+            .decidedBy = verdict->filter,
+            .problem = *reply.problem });
     reply_controller::deliver(request, std::move(reply), context);
 }
 
 void decision_core::reportStatus(const status_requested& query, decision_context& context)
 {
     status_report report { .self = m_settings.self, .domain = m_settings.domain, .life = m_life };
-    for (const auto* part : m_controllers)
-        part->describe(report);
+    m_loop.describe(report);
     context.commands.send(operator_command { status_reply { query.query, std::move(report) } });
 }
 
-void decision_core::settleRaised(decision_context& context)
-{
-    while (!m_raised.empty()) {
-        const auto event = std::move(m_raised.front());
-        m_raised.pop_front();
-        dispatch(event, context);
-    }
-}
-
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/decision_event.hpp
+++ b/src/kumquatbeam/controllers/decision_event.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
-#include "kumquatbeam/filters/request_context.hpp"
+#include "kumquatbeam/settings/endpoint_directory.hpp"
+#include "kumquatbeam/settings/route_table.hpp"
 #include "kumquatbeam/types/call.hpp"
 #include "kumquatbeam/types/ids.hpp"
 #include "kumquatbeam/types/peer_message.hpp"
+#include "kumquatbeam/types/request_context.hpp"
 #include "kumquatbeam/types/time.hpp"
 #include "kumquatbeam/types/units.hpp"
 
@@ -38,6 +40,14 @@
     request_id id;
 };
 
+/// What an endpoint reports about itself. It lags.
+struct endpoint_load {
+    endpoint_id endpoint;
+    std::int64_t running = 0;
+    std::int64_t waiting = 0;
+    bool isLeaving = false;
+};
+
 /// How an attempt to have an endpoint run a call ended.
 enum class attempt_outcome {
     /// The endpoint's whole answer was received.
@@ -59,10 +69,16 @@
     std::optional<failure> problem {};
     /// Bytes of the answer's body that were handed to the caller, counted over all attempts.
     byte_count relayed {};
-    /// The kept answer of a buffered attempt.
+    /// The last event that was handed to the caller, counted over all attempts.
+    std::optional<event_number> lastEvent {};
+    /// Whether the answer went to the caller as it came; it is kept below otherwise.
+    bool isRelayed = false;
     endpoint_status status { 0 };
     std::string contentType {};
+    header_fields fields {};
     std::string body {};
+    /// What the endpoint said of its load in its answer.
+    std::optional<endpoint_load> load {};
     /// Time that the slot was held.
     service_cost cost {};
 };
@@ -72,14 +88,6 @@
     request_id id;
 };
 
-/// What an endpoint reports about itself. It lags.
-struct endpoint_load {
-    endpoint_id endpoint;
-    std::int64_t running = 0;
-    std::int64_t waiting = 0;
-    bool isLeaving = false;
-};
-
 /// The endpoint answered a load query, or the query failed.
 struct load_observed {
     endpoint_id endpoint;
@@ -142,9 +150,41 @@
 /// The process was told to stop.
 struct shutdown_requested { };
 
+/// A read of the published routes, which were the newest at some time after `askedAt`.
+struct routes_observed {
+    std::shared_ptr<const route_table> table;
+    time_point askedAt;
+};
+
+/// A read of the announced endpoints, which were announced at some time after `askedAt`.
+struct directory_observed {
+    std::shared_ptr<const endpoint_directory> directory;
+    time_point askedAt;
+};
+
+/// What publishes routes and endpoints cannot be read any more.
+struct source_lost {
+    failure why;
+};
+
+/// What publishes routes and endpoints can be read again.
+struct source_regained { };
+
+/// Something that was published cannot be understood; what was believed before holds.
+struct source_faulty {
+    failure what;
+};
+
+/// A route table came into force; raised by the controller that owns it.
+struct routes_changed { };
+
+/// What is believed about the endpoints changed; raised by the controller that owns it.
+struct directory_changed { };
+
 /// Everything that reaches the decisions duty.
 using decision_event = std::variant<request_arrived, request_admitted, request_ended, request_abandoned, attempt_ended,
-    answer_begun, load_observed, document_published, members_published, document_accepted, membership_changed,
+    answer_begun, load_observed, routes_observed, directory_observed, source_lost, source_regained, source_faulty,
+    routes_changed, directory_changed, document_published, members_published, document_accepted, membership_changed,
     peer_connected, peer_lost, peer_received, status_requested, shutdown_requested, callers_finished, peers_finished>;
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/decision_tap.cpp
+++ b/src/kumquatbeam/controllers/decision_tap.cpp
@@ -4,11 +4,10 @@
 
 namespace kumquatbeam {
 
-decision_tap::decision_tap(command_outlet& commands, decision_log& log, metrics_controller& metrics, time_point now)
+decision_tap::decision_tap(command_outlet& commands, decision_log& log, metrics_controller& metrics)
     : m_commands(commands)
     , m_log(log)
     , m_metrics(metrics)
-    , m_now(now)
 {
 }
 
@@ -45,6 +44,11 @@
     m_log.refused(record);
 }
 
+void decision_tap::ended(const outcome_record& record)
+{
+    m_log.ended(record);
+}
+
 void decision_tap::changed(const change_record& record)
 {
     m_log.changed(record);
--- a/src/kumquatbeam/controllers/decision_tap.hpp
+++ b/src/kumquatbeam/controllers/decision_tap.hpp
@@ -7,7 +7,10 @@
 /// Passes commands and log records on, and shows the metrics controller what it counts.
 class decision_tap final : public command_outlet, public decision_log {
 public:
-    decision_tap(command_outlet&, decision_log&, metrics_controller&, time_point now);
+    decision_tap(command_outlet&, decision_log&, metrics_controller&);
+
+    /// The time at which what passes from now on happens.
+    void setTime(time_point now) { m_now = now; }
 
     void send(caller_command) override;
     void send(endpoint_command) override;
@@ -16,6 +19,7 @@
 
     void placed(const placement_record&) override;
     void refused(const refusal_record&) override;
+    void ended(const outcome_record&) override;
     void changed(const change_record&) override;
     void failed(std::string_view part, const failure&) override;
 
@@ -23,7 +27,7 @@
     command_outlet& m_commands;
     decision_log& m_log;
     metrics_controller& m_metrics;
-    time_point m_now;
+    time_point m_now {};
 };
 
 } // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/controllers/directory_controller.cpp
@@ -0,0 +1,111 @@
+#include "kumquatbeam/controllers/directory_controller.hpp"
+
+#include <algorithm>
+
+namespace kumquatbeam {
+
+directory_controller::directory_controller(const route_bounds& bounds)
+    : m_bounds(bounds)
+{
+}
+
+void directory_controller::handle(const decision_event& event, decision_context& context)
+{
+    if (const auto* observed = std::get_if<directory_observed>(&event))
+        observe(*observed, context);
+}
+
+time_point directory_controller::nextDeadline() const
+{
+    time_point earliest = never;
+    for (const auto& [id, dropAt] : m_missing)
+        earliest = std::min(earliest, dropAt);
+    return earliest;
+}
+
+void directory_controller::onDeadline(decision_context& context)
+{
+    bool hasChanged = false;
+    std::erase_if(m_missing, [&](const auto& entry) {
+        if (entry.second > context.now)
+            return false;
+        hasChanged |= m_endpoints.erase(entry.first) > 0;
+        context.log.changed({ name(), "gone", entry.first.value + " because=missing-since-outage" });
+        return true;
+    });
+    if (hasChanged)
+        tellChange(context);
+}
+
+const announced_endpoint* directory_controller::find(const endpoint_id& id) const
+{
+    const auto found = m_endpoints.find(id);
+    return found == m_endpoints.end() ? nullptr : &found->second;
+}
+
+void directory_controller::observe(const directory_observed& observed, decision_context& context)
+{
+    if (m_lastRead != never && observed.askedAt > m_lastRead + outageGap) {
+        m_keepMissingUntil = context.now + m_bounds.returnAllowance;
+        context.log.changed({ name(), "regained",
+            "after-ms="
+                + std::to_string(
+                    std::chrono::duration_cast<std::chrono::milliseconds>(observed.askedAt - m_lastRead).count()) });
+    }
+    m_lastRead = observed.askedAt;
+    bool hasChanged = takeAnnounced(*observed.directory, context);
+    hasChanged |= dropMissing(*observed.directory, observed.askedAt, context);
+    if (hasChanged)
+        tellChange(context);
+}
+
+bool directory_controller::takeAnnounced(const endpoint_directory& directory, decision_context& context)
+{
+    bool hasChanged = false;
+    for (const auto& [id, announced] : directory.endpoints) {
+        m_missing.erase(id);
+        const auto known = m_endpoints.find(id);
+        // What an earlier life wrote may show up late.
+        if (known != m_endpoints.end() && (known->second == announced || announced.life < known->second.life))
+            continue;
+        auto believed = announced;
+        // An announcement from before the endpoint said that it leaves may be read late.
+        if (known != m_endpoints.end() && known->second.life == announced.life)
+            believed.isDraining |= known->second.isDraining;
+        if (known != m_endpoints.end() && known->second == believed)
+            continue;
+        m_endpoints.insert_or_assign(id, believed);
+        context.log.changed({ name(), believed.isDraining ? "draining" : "announced",
+            id.value + " pool=" + believed.pool.value + " domain=" + believed.domain.value });
+        hasChanged = true;
+    }
+    return hasChanged;
+}
+
+bool directory_controller::dropMissing(
+    const endpoint_directory& directory, time_point askedAt, decision_context& context)
+{
+    const bool mayHaveLapsed = askedAt < m_keepMissingUntil;
+    return std::erase_if(m_endpoints, [&](const auto& entry) {
+        const auto& id = entry.first;
+        if (directory.endpoints.contains(id) || m_missing.contains(id))
+            return false;
+        if (mayHaveLapsed) {
+            m_missing.emplace(id, m_keepMissingUntil);
+            return false;
+        }
+        context.log.changed({ name(), "gone", id.value + " because=removed" });
+        return true;
+    }) > 0;
+}
+
+void directory_controller::tellChange(decision_context& context)
+{
+    keep_endpoints kept;
+    for (const auto& [id, endpoint] : m_endpoints)
+        kept.endpoints.push_back({ id, endpoint.address, endpoint.port, endpoint.life });
+    context.commands.send(endpoint_command { std::move(kept) });
+    context.raised.emplace_back(directory_changed {});
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/controllers/dispatch_controller.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "kumquatbeam/controllers/controller.hpp"
+#include "kumquatbeam/controllers/directory_controller.hpp"
+#include "kumquatbeam/controllers/fleet_controller.hpp"
+#include "kumquatbeam/controllers/route_controller.hpp"
+#include "kumquatbeam/decisions/attempt_policy.hpp"
+#include "kumquatbeam/decisions/endpoint_health.hpp"
+#include "kumquatbeam/decisions/placement/placement_strategy.hpp"
+#include "kumquatbeam/decisions/shared_retry_budget.hpp"
+#include "kumquatbeam/settings/route_bounds.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace kumquatbeam {
+
+/// Owns the routed calls in progress: which endpoint each goes to, and what follows when an attempt ends. Calls do not
+/// wait here: a call that no endpoint can take in time is refused at once.
+class dispatch_controller final : public controller, public load_source {
+public:
+    dispatch_controller(const route_bounds&, const failure_domain_id& self, const route_controller&,
+        const directory_controller&, const fleet_controller&);
+
+    std::string_view name() const override { return "dispatch"; }
+    void handle(const decision_event&, decision_context&) override;
+    void describe(status_report&) const override;
+
+    void addLoad(fleet_beat&) const override;
+
+    /// Where a request would go now; nothing where no endpoint can take it in time.
+    std::optional<placement> choose(const request_context&, time_point now) const;
+
+    /// Whether the pool has an endpoint that may be used at all.
+    bool hasUsable(const pool_id&, time_point now) const;
+
+private:
+    /// What an attempt at a call has left behind.
+    struct call_history {
+        /// Attempts of which a byte went out, and attempts in all.
+        int sent = 0;
+        int made = 0;
+        bool mayHaveRun = false;
+        byte_count relayed {};
+        std::optional<event_number> lastEvent {};
+        std::set<endpoint_id> tried {};
+    };
+
+    struct running_call {
+        request_context context;
+        time_point arrivedAt;
+        endpoint_id endpoint;
+        /// Prompt tokens that the endpoint still has to read before the first event.
+        token_count toRead;
+        call_history before {};
+        std::optional<time_point> begunAt {};
+        bool isAbandoned = false;
+    };
+
+    struct dispatch_pool {
+        std::unique_ptr<placement_strategy> strategy;
+        std::vector<endpoint_standing> endpoints;
+        endpoint_health health;
+        shared_retry_budget retries;
+    };
+
+    void refreshPools();
+    void refreshPool(dispatch_pool&, const pool_id&);
+    std::unique_ptr<placement_strategy> makeStrategy(const pool_id&) const;
+    std::optional<placement> choose(const request_context&, const std::set<endpoint_id>& tried, time_point now) const;
+    void admit(const request_context&, decision_context&);
+    bool start(running_call, decision_context&);
+    void begin(request_id, time_point now);
+    void abandon(request_id, decision_context&);
+    void finishAttempt(const attempt_ended&, decision_context&);
+    void recordHealth(dispatch_pool&, const attempt_ended&, time_point now);
+    void settle(running_call, const attempt_ended&, decision_context&);
+    attempt_facts factsOf(const running_call&, const attempt_ended&, time_point now) const;
+    bool payForRepeat(const running_call&, const attempt_ended&, time_point now);
+    void tryAgain(running_call, const attempt_ended&, decision_context&);
+    void answer(running_call, const attempt_ended&, decision_context&);
+    void end(running_call, call_reply, const attempt_ended&, decision_context&);
+    void logOutcome(const running_call&, const attempt_ended&, reply_kind, failure_kind, decision_context&);
+    dispatch_pool* poolOf(const request_context&);
+
+    const route_bounds& m_bounds;
+    const failure_domain_id& m_domain;
+    const route_controller& m_routes;
+    const directory_controller& m_directory;
+    const fleet_controller& m_fleet;
+    std::map<pool_id, dispatch_pool> m_pools;
+    std::unordered_map<request_id, running_call> m_running;
+    /// Endpoints at whose address another one has answered, by the life that was expected there.
+    std::map<endpoint_id, std::int64_t> m_replaced;
+};
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/controllers/fleet_controller.cpp
@@ -0,0 +1,187 @@
+#include "kumquatbeam/controllers/fleet_controller.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquatbeam {
+
+namespace {
+
+    /// The name under which a router is told of before it has been heard.
+    entry_vm_id nameOfSeed(const std::string& address)
+    {
+        return { "seed " + address };
+    }
+
+} // namespace
+
+fleet_controller::fleet_controller(const router_settings& settings, incarnation life, std::vector<std::string> seeds)
+    : m_settings(settings)
+    , m_life(life)
+    , m_seeds(std::move(seeds))
+{
+    std::erase(m_seeds, settings.peerAddress);
+}
+
+void fleet_controller::handle(const decision_event& event, decision_context& context)
+{
+    const event_handlers handlers {
+        [&](const peer_received& received) {
+            if (const auto* beat = std::get_if<fleet_beat>(&received.message))
+                hear(*beat, context);
+        },
+        [&](const shutdown_requested&) {
+            m_isLeaving = true;
+            sendBeats(context);
+        },
+    };
+    std::visit(handlers, event);
+}
+
+time_point fleet_controller::nextDeadline() const
+{
+    return m_nextBeat;
+}
+
+void fleet_controller::onDeadline(decision_context& context)
+{
+    expire(context);
+    sendBeats(context);
+}
+
+void fleet_controller::describe(status_report& report) const
+{
+    for (const auto& [id, known] : m_members)
+        report.peers.push_back({ id, known.heardAt != never, known.isLoadCounted, known.routes });
+}
+
+fleet_controller::load fleet_controller::loadElsewhere(wire_key endpoint) const
+{
+    const auto found = m_elsewhere.find(endpoint);
+    return found == m_elsewhere.end() ? load {} : found->second;
+}
+
+std::int64_t fleet_controller::routersAtMost() const
+{
+    const auto others = std::count_if(m_members.begin(), m_members.end(),
+        [](const auto& entry) { return entry.second.heardAt != never && !entry.second.isLeaving; });
+    // Before the others have been heard, the seeds tell that there are some.
+    return 1 + std::max<std::int64_t>(others, static_cast<std::int64_t>(m_seeds.size()));
+}
+
+void fleet_controller::hear(const fleet_beat& beat, decision_context& context)
+{
+    if (beat.from == m_settings.self)
+        return;
+    auto& known = m_members[beat.from];
+    const bool isNewLife = known.life != beat.life;
+    if (!isNewLife && beat.sequence <= known.sequence)
+        return;
+    if (isNewLife || known.address != beat.address)
+        m_havePeersChanged = true;
+    if (isNewLife)
+        context.log.changed(
+            { name(), "heard", beat.from.value + " domain=" + beat.domain.value + " address=" + beat.address });
+    countLoad(known, -1);
+    known = { .id = beat.from,
+        .address = beat.address,
+        .domain = beat.domain,
+        .life = beat.life,
+        .sequence = beat.sequence,
+        .routes = beat.routes,
+        .heardAt = context.now,
+        .forgetAt = context.now + memoryOfSilent,
+        .isLeaving = beat.isLeaving,
+        .load = beat.endpoints };
+    countLoad(known, 1);
+    for (const auto& router : beat.known)
+        learn(router, context);
+}
+
+void fleet_controller::learn(const known_router& router, decision_context& context)
+{
+    if (router.id == m_settings.self || m_members.contains(router.id))
+        return;
+    m_members.emplace(
+        router.id, member { .id = router.id, .address = router.address, .forgetAt = context.now + memoryOfSilent });
+    m_havePeersChanged = true;
+}
+
+void fleet_controller::countLoad(member& known, std::int64_t sign)
+{
+    if (known.isLoadCounted == (sign > 0))
+        return;
+    known.isLoadCounted = sign > 0;
+    for (const auto& row : known.load) {
+        auto& sum = m_elsewhere[row.endpoint];
+        sum.running += sign * static_cast<std::int64_t>(row.running);
+        sum.toRead += token_count { sign * row.toRead.value };
+        if (sum.running == 0 && sum.toRead.value == 0)
+            m_elsewhere.erase(row.endpoint);
+    }
+}
+
+void fleet_controller::expire(decision_context& context)
+{
+    for (auto& [id, known] : m_members) {
+        if (!known.isLoadCounted || context.now < known.heardAt + loadLifetime)
+            continue;
+        countLoad(known, -1);
+        context.log.changed({ name(), "silent", id.value });
+    }
+    const auto forgotten
+        = std::erase_if(m_members, [&](const auto& entry) { return context.now >= entry.second.forgetAt; });
+    m_havePeersChanged |= forgotten > 0;
+}
+
+void fleet_controller::sendBeats(decision_context& context)
+{
+    m_nextBeat = context.now + beatPeriod;
+    if (std::exchange(m_havePeersChanged, false))
+        tellPeers(context);
+    const auto beat = makeBeat();
+    const auto send = [&](const entry_vm_id& to) { context.commands.send(peer_command { send_to_peer { to, beat } }); };
+    for (const auto& [id, known] : m_members)
+        send(id);
+    for (const auto& seed : m_seeds) {
+        if (!isKnownAddress(seed))
+            send(nameOfSeed(seed));
+    }
+}
+
+void fleet_controller::tellPeers(decision_context& context) const
+{
+    set_peers peers;
+    for (const auto& [id, known] : m_members)
+        peers.peers.push_back({ id, known.domain, known.address, m_settings.peerPort });
+    for (const auto& seed : m_seeds) {
+        if (!isKnownAddress(seed))
+            peers.peers.push_back({ nameOfSeed(seed), {}, seed, m_settings.peerPort });
+    }
+    context.commands.send(peer_command { std::move(peers) });
+}
+
+fleet_beat fleet_controller::makeBeat()
+{
+    fleet_beat beat { .from = m_settings.self,
+        .life = m_life,
+        .domain = m_settings.domain,
+        .address = m_settings.peerAddress,
+        .sequence = ++m_sequence,
+        .isLeaving = m_isLeaving };
+    for (const auto& [id, known] : m_members) {
+        if (known.isLoadCounted)
+            beat.known.push_back({ id, known.address });
+    }
+    if (m_source)
+        m_source->addLoad(beat);
+    return beat;
+}
+
+bool fleet_controller::isKnownAddress(const std::string& address) const
+{
+    return std::any_of(
+        m_members.begin(), m_members.end(), [&](const auto& entry) { return entry.second.address == address; });
+}
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/order_controller.cpp
+++ b/src/kumquatbeam/controllers/order_controller.cpp
@@ -210,7 +210,11 @@
     m_answerTimes.erase({ node.mapped().answerBy, id });
     auto request = std::move(node.mapped().context);
     if (reply && reply->problem)
-        context.log.refused({ id, request.account, request.call->pool, name(), *reply->problem });
+        context.log.refused({ .request = id,
+            .account = request.account,
+            .pool = request.call->pool,
+            .decidedBy = name(),
+            .problem = *reply->problem });
     context.raised.emplace_back(request_ended { std::move(request), std::move(reply) });
 }
 
--- a/src/kumquatbeam/controllers/placement_controller.cpp
+++ b/src/kumquatbeam/controllers/placement_controller.cpp
@@ -341,8 +341,13 @@
     endpoint->running += slot_count { 1 };
     pool.drains[choice.account].recordStart(account->waiting, context.now);
 
-    context.log.placed({ request->id, choice.account, pool.view.pool, choice.endpoint, choice.reason, choice.runnerUp,
-        choice.runnerUpReason });
+    context.log.placed({ .request = request->id,
+        .account = choice.account,
+        .pool = pool.view.pool,
+        .endpoint = choice.endpoint,
+        .reason = choice.reason,
+        .runnerUp = choice.runnerUp,
+        .runnerUpReason = choice.runnerUpReason });
     const auto& description = m_configuration.current()->endpoints.at(choice.endpoint);
     start_attempt attempt {
         .id = request->id,
@@ -350,7 +355,7 @@
         .call = request->call,
         .sendBefore = std::min(choice.sendBefore, request->deadline),
         .deadline = request->deadline,
-        .isBuffered = !request->isRepeatable,
+        .path = request->isRepeatable ? answer_path::Pieces : answer_path::Kept,
     };
     running_call call { std::move(*request), choice.endpoint };
     if (const auto history = m_histories.extract(attempt.id))
@@ -389,7 +394,11 @@
 {
     m_histories.erase(request.id);
     if (reply.problem)
-        context.log.refused({ request.id, request.account, request.call->pool, name(), *reply.problem });
+        context.log.refused({ .request = request.id,
+            .account = request.account,
+            .pool = request.call->pool,
+            .decidedBy = name(),
+            .problem = *reply.problem });
     context.raised.emplace_back(request_ended { std::move(request), std::move(reply) });
 }
 
--- /dev/null
+++ b/src/kumquatbeam/controllers/route_controller.cpp
@@ -0,0 +1,79 @@
+#include "kumquatbeam/controllers/route_controller.hpp"
+
+#include <algorithm>
+#include <string>
+
+namespace kumquatbeam {
+
+namespace {
+
+    /// Part of the revocation bound after which the router calls itself not ready, so that the balancer takes callers
+    /// elsewhere while it still serves them. The platform's own figure for a router without a way to its store.
+    constexpr double readyPart = 0.6;
+
+    /// Time before the revocation bound at which requests with a key are no longer sent. It covers the way to the
+    /// endpoint and the wait for a slot there.
+    constexpr std::chrono::milliseconds sendMargin { 500 };
+
+    time_point after(time_point from, std::chrono::milliseconds time)
+    {
+        return from == time_point::min() ? from : from + time;
+    }
+
+} // namespace
+
+route_controller::route_controller(const route_bounds& bounds)
+    : m_bounds(bounds)
+{
+}
+
+void route_controller::handle(const decision_event& event, decision_context& context)
+{
+    const event_handlers handlers {
+        [&](const routes_observed& observed) { observe(observed, context); },
+        [&](const source_lost& lost) { context.log.failed("source", lost.why); },
+        [&](const source_regained&) {
+            context.log.changed({ "source", "regained", "" });
+        },
+        [&](const source_faulty& faulty) { context.log.failed("source", faulty.what); },
+    };
+    std::visit(handlers, event);
+}
+
+void route_controller::describe(status_report& report) const
+{
+    if (m_table)
+        report.document = m_table->current;
+}
+
+time_point route_controller::freshUntil() const
+{
+    const auto part = std::chrono::duration_cast<std::chrono::milliseconds>(m_bounds.keyRevocation * readyPart);
+    return after(m_provedAt, part);
+}
+
+time_point route_controller::keysEndAt() const
+{
+    return after(m_provedAt, m_bounds.keyRevocation - sendMargin);
+}
+
+void route_controller::observe(const routes_observed& observed, decision_context& context)
+{
+    const auto& seen = observed.table;
+    if (m_table && seen->current < m_table->current) {
+        context.log.failed(name(),
+            { failure_kind::StaleRevision, "route table", std::to_string(seen->current.value),
+                "at least " + std::to_string(m_table->current.value) });
+        return;
+    }
+    m_provedAt = std::max(m_provedAt, observed.askedAt);
+    if (m_table && seen->current == m_table->current)
+        return;
+    if (!m_table || m_table->limits != seen->limits)
+        context.commands.send(caller_command { set_caller_limits { seen->limits } });
+    m_table = seen;
+    context.log.changed({ name(), "in-force", "version=" + std::to_string(seen->current.value) });
+    context.raised.emplace_back(routes_changed {});
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/controllers/routing_core.cpp
@@ -0,0 +1,80 @@
+#include "kumquatbeam/controllers/routing_core.hpp"
+
+#include "kumquatbeam/filters/drain_filter.hpp"
+#include "kumquatbeam/filters/key_filter.hpp"
+#include "kumquatbeam/filters/room_filter.hpp"
+#include "kumquatbeam/filters/route_filter.hpp"
+#include "kumquatbeam/filters/timeout_filter.hpp"
+
+#include <utility>
+
+namespace kumquatbeam {
+
+routing_core::routing_core(router_settings settings, route_bounds bounds, std::vector<std::string> seeds,
+    incarnation life, command_outlet& commands, decision_log& log)
+    : m_settings(std::move(settings))
+    , m_bounds(bounds)
+    , m_life(life)
+    , m_routes(m_bounds)
+    , m_directory(m_bounds)
+    , m_fleet(m_settings, life, std::move(seeds))
+    , m_dispatch(m_bounds, m_settings.domain, m_routes, m_directory, m_fleet)
+    , m_drain(m_settings)
+    , m_readiness(m_routes, m_directory)
+    , m_loop(commands, log, { .event = [this](const decision_event& event, decision_context& context) {
+        return takeEvent(event, context);
+    } })
+{
+    m_loop.append(m_routes);
+    m_loop.append(m_directory);
+    m_fleet.setLoadSource(m_dispatch);
+    m_loop.append(m_fleet);
+    m_loop.append(m_dispatch);
+    m_loop.append(m_reply);
+    m_loop.append(m_drain);
+    m_loop.append(m_readiness);
+
+    m_chain.append(std::make_unique<route_filter>(m_routes));
+    m_chain.append(std::make_unique<key_filter>(m_routes));
+    m_chain.append(std::make_unique<drain_filter>(m_drain));
+    m_chain.append(std::make_unique<timeout_filter>());
+    m_chain.append(std::make_unique<room_filter>(m_dispatch));
+}
+
+bool routing_core::takeEvent(const decision_event& event, decision_context& context)
+{
+    const event_handlers handlers {
+        [&](const request_arrived& arrived) { filterRequest(arrived, context); },
+        [&](const status_requested& query) { reportStatus(query, context); },
+    };
+    std::visit(handlers, event);
+    return true;
+}
+
+void routing_core::filterRequest(const request_arrived& arrived, decision_context& context)
+{
+    request_context request { .id = arrived.id, .call = arrived.call };
+    auto verdict = m_chain.apply(request, context.now);
+    if (!verdict) {
+        context.raised.emplace_back(request_admitted { std::move(request) });
+        return;
+    }
+    auto& reply = verdict->reply;
+    if (reply.problem)
+        context.log.refused({ .request = request.id,
+            .label = request.call->label,
+            .account = request.account,
+            .pool = request.matched ? request.matched->pool : pool_id {},
+            .decidedBy = verdict->filter,
+            .problem = *reply.problem });
+    reply_controller::deliver(request, std::move(reply), context);
+}
+
+void routing_core::reportStatus(const status_requested& query, decision_context& context)
+{
+    status_report report { .self = m_settings.self, .domain = m_settings.domain, .life = m_life };
+    m_loop.describe(report);
+    context.commands.send(operator_command { status_reply { query.query, std::move(report) } });
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/controllers/routing_core.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "kumquatbeam/controllers/controller_loop.hpp"
+#include "kumquatbeam/controllers/decision_engine.hpp"
+#include "kumquatbeam/controllers/directory_controller.hpp"
+#include "kumquatbeam/controllers/dispatch_controller.hpp"
+#include "kumquatbeam/controllers/drain_controller.hpp"
+#include "kumquatbeam/controllers/fleet_controller.hpp"
+#include "kumquatbeam/controllers/readiness_controller.hpp"
+#include "kumquatbeam/controllers/reply_controller.hpp"
+#include "kumquatbeam/controllers/route_controller.hpp"
+#include "kumquatbeam/filters/filter_chain.hpp"
+#include "kumquatbeam/settings/route_bounds.hpp"
+#include "kumquatbeam/settings/router_settings.hpp"
+
+namespace kumquatbeam {
+
+/// The decisions of a router that a route table tells which calls go to which pools.
+class routing_core final : public decision_engine {
+public:
+    /// `seeds` are addresses of routers that may know the others.
+    routing_core(
+        router_settings, route_bounds, std::vector<std::string> seeds, incarnation, command_outlet&, decision_log&);
+
+    void handle(const decision_event& event, time_point now) override { m_loop.handle(event, now); }
+    time_point nextDeadline() const override { return m_loop.nextDeadline(); }
+    void onDeadline(time_point now) override { m_loop.onDeadline(now); }
+
+private:
+    bool takeEvent(const decision_event&, decision_context&);
+    void filterRequest(const request_arrived&, decision_context&);
+    void reportStatus(const status_requested&, decision_context&);
+
+    router_settings m_settings;
+    route_bounds m_bounds;
+    incarnation m_life;
+    route_controller m_routes;
+    directory_controller m_directory;
+    fleet_controller m_fleet;
+    dispatch_controller m_dispatch;
+    reply_controller m_reply;
+    drain_controller m_drain;
+    readiness_controller m_readiness;
+    filter_chain m_chain;
+    controller_loop m_loop;
+};
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/decisions/attempt_policy.cpp
+++ b/src/kumquatbeam/decisions/attempt_policy.cpp
@@ -23,16 +23,24 @@
         return facts.relayed.value > 0;
     }
 
+    bool mayTryAgain(const attempt_facts& facts)
+    {
+        return facts.isWanted && facts.attempts < facts.attemptLimit;
+    }
+
     constexpr auto endingRules = std::to_array<attempt_rule>({
+        { [](const attempt_facts& facts) { return facts.isComplete; }, attempt_verdict::Answer },
         { [](const attempt_facts& facts) { return hasBegun(facts) || mayHaveRun(facts); },
             attempt_verdict::EndUnknown },
         { [](const attempt_facts&) { return true; }, attempt_verdict::EndNotRun },
     });
 
     constexpr auto retryRules = std::to_array<attempt_rule>({
-        { [](const attempt_facts& facts) { return facts.isComplete; }, attempt_verdict::Answer },
-        { [](const attempt_facts& facts) { return !facts.isWanted || facts.attempts >= attemptLimit; },
-            attempt_verdict::EndUnknown },
+        { [](const attempt_facts& facts) {
+             return facts.isComplete && !(facts.isFailure && facts.isRepeatable && mayTryAgain(facts));
+         },
+            attempt_verdict::Answer },
+        { [](const attempt_facts& facts) { return !mayTryAgain(facts); }, attempt_verdict::EndUnknown },
         { [](const attempt_facts& facts) { return hasBegun(facts) && facts.canResume && facts.isRepeatable; },
             attempt_verdict::Resume },
         { [](const attempt_facts& facts) { return hasBegun(facts); }, attempt_verdict::EndUnknown },
--- a/src/kumquatbeam/decisions/attempt_policy.hpp
+++ b/src/kumquatbeam/decisions/attempt_policy.hpp
@@ -27,10 +27,15 @@
     byte_count relayed {};
 };
 
+/// Attempts that one call may have where nothing else is said.
+inline constexpr int defaultAttemptLimit = 3;
+
 /// What is known about a call when one of its attempts has ended.
 struct attempt_facts {
     /// The endpoint's whole answer was received.
     bool isComplete = false;
+    /// That answer reports a failure of the endpoint's own.
+    bool isFailure = false;
     /// No byte of this attempt went out, or the endpoint said that it did not run the call.
     bool isProvenNotRun = false;
     /// An earlier attempt may have run.
@@ -42,13 +47,12 @@
     /// Bytes of the answer that the caller has.
     byte_count relayed {};
     int attempts = 1;
+    /// Attempts that the call may have in all.
+    int attemptLimit = defaultAttemptLimit;
     /// The caller still waits, and its deadline has not passed.
     bool isWanted = true;
 };
 
-/// Attempts that one call may have.
-inline constexpr int attemptLimit = 3;
-
 /// What would follow if the retry budget allows it: `TryAgain` and `Resume` still have to be paid for.
 attempt_verdict verdictAfter(const attempt_facts&);
 
--- /dev/null
+++ b/src/kumquatbeam/decisions/placement/least_running.cpp
@@ -0,0 +1,35 @@
+#include "kumquatbeam/decisions/placement/least_running.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace kumquatbeam {
+
+namespace {
+
+    /// Part of an endpoint's slots up to which it is taken before endpoints of other failure domains.
+    constexpr double nearPart = 0.5;
+
+    double fillOf(const endpoint_standing& row)
+    {
+        return static_cast<double>(row.runningInAll()) / std::max(row.slots.value, 1);
+    }
+
+} // namespace
+
+std::optional<placement> least_running::place(
+    const placement_call& call, std::span<const endpoint_standing> endpoints, time_point) const
+{
+    const auto rank = [&](const endpoint_standing& row) {
+        const bool isNear = row.domain == call.domain && fillOf(row) < nearPart;
+        return std::tuple(!row.isUsable, !isNear, fillOf(row));
+    };
+    const auto best = std::min_element(endpoints.begin(), endpoints.end(),
+        [&](const auto& left, const auto& right) { return rank(left) < rank(right); });
+    if (best == endpoints.end() || !best->isUsable)
+        return std::nullopt;
+    return placement { .endpoint = best->endpoint,
+        .reason = best->domain == call.domain ? "fewest calls in this domain" : "fewest calls" };
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/decisions/placement/least_running.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "kumquatbeam/decisions/placement/placement_strategy.hpp"
+
+namespace kumquatbeam {
+
+/// For plain services: the endpoint with the fewest calls for its slots, in the router's own failure domain as long as
+/// that one has free slots.
+class least_running final : public placement_strategy {
+public:
+    std::string_view name() const override { return "least-running"; }
+    std::optional<placement> place(
+        const placement_call&, std::span<const endpoint_standing>, time_point now) const override;
+    void recordPlaced(const prompt_shape&, const endpoint_id&, time_point) override { }
+};
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/decisions/placement/placement_strategy.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "kumquatbeam/types/ids.hpp"
+#include "kumquatbeam/types/prompt.hpp"
+#include "kumquatbeam/types/time.hpp"
+#include "kumquatbeam/types/units.hpp"
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace kumquatbeam {
+
+/// An endpoint of a pool, as a placement strategy sees it.
+struct endpoint_standing {
+    endpoint_id endpoint;
+    /// The short name under which routers tell each other of it.
+    wire_key key;
+    failure_domain_id domain;
+    slot_count slots;
+    /// Calls that this router has running there.
+    std::int64_t running = 0;
+    /// Prompt tokens that this router has sent there and that have not been answered yet.
+    token_count toRead;
+    /// @{ The same of the other routers, by their last word.
+    std::int64_t runningElsewhere = 0;
+    token_count toReadElsewhere;
+    /// @}
+    /// Whether a call may go there: announced, not leaving, not ejected, not tried before.
+    bool isUsable = true;
+
+    std::int64_t runningInAll() const { return running + runningElsewhere; }
+    token_count toReadInAll() const { return toRead + toReadElsewhere; }
+};
+
+/// A call that needs an endpoint.
+struct placement_call {
+    const prompt_shape& prompt;
+    /// The failure domain of this router.
+    const failure_domain_id& domain;
+    /// Longest wait before the call's own prompt is read that is worth starting for.
+    std::chrono::microseconds waitLimit { 0 };
+};
+
+/// Where a call goes.
+struct placement {
+    endpoint_id endpoint;
+    /// Prompt tokens that the endpoint has to read, as far as is known.
+    token_count toRead;
+    /// Time until the endpoint turns to the call, as far as is known.
+    std::chrono::microseconds wait { 0 };
+    std::string_view reason;
+    endpoint_id runnerUp {};
+    std::string_view runnerUpReason {};
+};
+
+/// Picks the endpoint of a pool that a call goes to. One object for each pool.
+class placement_strategy {
+public:
+    virtual ~placement_strategy() = default;
+
+    /// Name in logs.
+    virtual std::string_view name() const = 0;
+
+    /// The endpoint for the call; nothing where none is usable, or all have too long a wait.
+    virtual std::optional<placement> place(
+        const placement_call&, std::span<const endpoint_standing>, time_point now) const = 0;
+
+    /// Takes in that a call went where `place` said.
+    virtual void recordPlaced(const prompt_shape&, const endpoint_id&, time_point now) = 0;
+};
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/decisions/placement/prompt_homes.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "kumquatbeam/decisions/placement/placement_strategy.hpp"
+
+#include <unordered_map>
+#include <utility>
+
+namespace kumquatbeam {
+
+/// For model engines: requests that share a long beginning of their prompts go to the same few engines, which then have
+/// it in their caches. Rendezvous hashing gives each beginning its homes, the same ones at every router; an engine that
+/// comes or goes moves only the beginnings that it is a home of.
+///
+/// Among the homes, and among all engines for prompts that share little, the one goes first that reads the prompt
+/// soonest.
+class prompt_homes final : public placement_strategy {
+public:
+    /// Engines that are the home of one beginning.
+    static constexpr std::size_t homeCount = 2;
+
+    /// Shared tokens from which a beginning has homes; fewer are read faster than a detour costs.
+    static constexpr token_count longBeginning { 1024 };
+
+    /// Time for which an engine is taken to keep what it has read.
+    static constexpr std::chrono::seconds keptFor { 8 };
+
+    /// `tokensPerMillisecond` is the rate at which one engine reads prompts.
+    explicit prompt_homes(double tokensPerMillisecond);
+
+    std::string_view name() const override { return "prompt-homes"; }
+    std::optional<placement> place(
+        const placement_call&, std::span<const endpoint_standing>, time_point now) const override;
+    void recordPlaced(const prompt_shape&, const endpoint_id&, time_point now) override;
+
+    void setRate(double tokensPerMillisecond) { m_rate = tokensPerMillisecond; }
+
+private:
+    struct candidate {
+        const endpoint_standing* row = nullptr;
+        std::uint64_t score = 0;
+        token_count toRead {};
+        std::chrono::microseconds wait {};
+        /// When the prompt has been read, were it sent now.
+        std::chrono::microseconds readBy {};
+    };
+
+    std::chrono::microseconds timeToRead(token_count) const;
+    candidate assess(const placement_call&, const endpoint_standing&, bool isHome, time_point now) const;
+    bool keeps(const endpoint_id&, prompt_part_id beginning, time_point now) const;
+
+    double m_rate;
+    /// Until when each engine is taken to keep a beginning that this router has sent there.
+    std::unordered_map<endpoint_id, std::unordered_map<prompt_part_id, time_point>> m_keptUntil;
+    time_point m_nextSweep {};
+};
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/duties/beats_duty.cpp
@@ -0,0 +1,118 @@
+#include "kumquatbeam/duties/beats_duty.hpp"
+
+#include "kumquatbeam/codec/peer_codec.hpp"
+#include "kumquatbeam/duties/ring_sizes.hpp"
+#include "kumquatbeam/types/event_handlers.hpp"
+#include "kumquatbeam/types/failure.hpp"
+
+#include <string>
+#include <utility>
+
+namespace kumquatbeam {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+beats_duty::beats_duty(const router_settings& settings, duty_links& links)
+    : m_settings(settings)
+    , m_links(links)
+    , m_duty("peers", peersRing())
+    , m_socket(m_duty.context())
+    , m_datagram(datagramSize)
+{
+}
+
+absl::Status beats_duty::listen()
+{
+    boost::system::error_code error;
+    const auto number = asio::ip::make_address(m_settings.peerAddress, error);
+    if (error)
+        return toStatus({ failure_kind::MalformedValue, "peer address", m_settings.peerAddress, "an IP number" });
+    const udp::endpoint local(number, static_cast<std::uint16_t>(m_settings.peerPort));
+    m_socket.open(local.protocol(), error);
+    if (!error)
+        m_socket.bind(local, error);
+    if (!error)
+        m_socket.non_blocking(true, error);
+    if (error)
+        return toStatus({ failure_kind::AddressInUse,
+            m_settings.peerAddress + ":" + std::to_string(m_settings.peerPort), error.message() });
+    return absl::OkStatus();
+}
+
+void beats_duty::start()
+{
+    receive();
+    m_duty.start([this](peer_command command) { handle(std::move(command)); });
+}
+
+void beats_duty::handle(peer_command command)
+{
+    const event_handlers handlers {
+        [&](const set_peers& peers) { replacePeers(peers); },
+        [&](const send_to_peer& message) { send(message); },
+        [&](const finish_peers&) { m_links.decisions->post(peers_finished {}); },
+    };
+    std::visit(handlers, command);
+}
+
+void beats_duty::replacePeers(const set_peers& peers)
+{
+    m_peers.clear();
+    for (const auto& peer : peers.peers) {
+        boost::system::error_code error;
+        const auto number = asio::ip::make_address(peer.address, error);
+        if (!error)
+            m_peers.emplace(peer.id, udp::endpoint(number, static_cast<std::uint16_t>(peer.peerPort)));
+    }
+}
+
+void beats_duty::send(const send_to_peer& message)
+{
+    const auto peer = m_peers.find(message.to);
+    if (peer == m_peers.end())
+        return;
+    const auto bytes = encodeFrame(message.message, clock::now());
+    boost::system::error_code error;
+    m_socket.send_to(asio::buffer(bytes), peer->second, 0, error);
+    // A beat that cannot go out now is as good as lost; the next one follows.
+    if (error)
+        return;
+    m_links.traffic->bytesSent += bytes.size();
+    ++m_links.traffic->framesSent;
+}
+
+void beats_duty::receive()
+{
+    m_socket.async_receive_from(
+        asio::buffer(m_datagram), m_sender, [this](const boost::system::error_code& error, std::size_t size) {
+            if (error == asio::error::operation_aborted)
+                return;
+            if (!error)
+                take(size);
+            receive();
+        });
+}
+
+void beats_duty::take(std::size_t size)
+{
+    m_links.traffic->bytesReceived += size;
+    if (size < frameLengthSize)
+        return;
+    const std::string_view datagram(m_datagram.data(), size);
+    const auto length = decodeFrameLength(datagram.substr(0, frameLengthSize));
+    if (!length.ok() || *length != size - frameLengthSize)
+        return;
+    auto message = decodeFrame(std::string(datagram.substr(frameLengthSize)), clock::now());
+    if (!message.ok())
+        return;
+    const auto* beat = std::get_if<fleet_beat>(&*message);
+    // A router tells its own address, so a beat that comes from another one is not its own.
+    if (!beat || beat->address != m_sender.address().to_string())
+        return;
+    const auto from = beat->from;
+    // What a full ring drops is said again by the next beat.
+    static_cast<void>(m_links.decisions->tryPost(peer_received { from, *std::move(message) }));
+}
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/duties/callers_duty.cpp
+++ b/src/kumquatbeam/duties/callers_duty.cpp
@@ -2,6 +2,7 @@
 
 #include "kumquatbeam/duties/listen.hpp"
 #include "kumquatbeam/duties/ring_sizes.hpp"
+#include "kumquatbeam/sessions/connect.hpp"
 #include "kumquatbeam/types/event_handlers.hpp"
 
 #include <utility>
@@ -10,23 +11,41 @@
 
 namespace asio = boost::asio;
 
-callers_duty::callers_duty(const router_settings& settings, duty_links& links)
+namespace {
+
+    /// Longest time for which a caller may leave bytes unacknowledged, or its window closed.
+    constexpr std::chrono::seconds unacknowledgedLimit { 10 };
+
+} // namespace
+
+callers_duty::callers_duty(
+    const router_settings& settings, const caller_dialect& dialect, duty_thread& traffic, duty_links& links)
     : m_settings(settings)
+    , m_dialect(dialect)
     , m_links(links)
-    , m_duty("callers", callersRing(settings))
+    , m_duty(traffic, callersRing(settings))
     , m_arrivals(m_duty.context())
     , m_acceptor(m_duty.context())
+    , m_readinessAcceptor(m_duty.context())
 {
+    m_limits.body = { static_cast<std::uint64_t>(settings.bodyLimit) };
 }
 
 absl::Status callers_duty::listen()
 {
+    if (m_settings.readinessPort != 0) {
+        const auto status = listenOn(m_readinessAcceptor, m_settings.callerAddress, m_settings.readinessPort);
+        if (!status.ok())
+            return status;
+    }
     return listenOn(m_acceptor, m_settings.callerAddress, m_settings.callerPort);
 }
 
 void callers_duty::start()
 {
-    accept();
+    accept(m_acceptor);
+    if (m_readinessAcceptor.is_open())
+        accept(m_readinessAcceptor);
     m_arrivals.start();
     m_duty.start([this](caller_command command) { handle(std::move(command)); });
 }
@@ -66,21 +85,20 @@
     reportWhenFinished();
 }
 
-void callers_duty::accept()
+void callers_duty::accept(asio::ip::tcp::acceptor& acceptor)
 {
-    m_acceptor.async_accept([this](boost::system::error_code error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted || !m_acceptor.is_open())
+    acceptor.async_accept([this, &acceptor](boost::system::error_code error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted || !acceptor.is_open())
             return;
         if (!error)
             begin(std::move(socket));
-        accept();
+        accept(acceptor);
     });
 }
 
 void callers_duty::begin(asio::ip::tcp::socket socket)
 {
-    boost::system::error_code ignored;
-    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    watchForSilence(socket, unacknowledgedLimit);
     const auto session = std::make_shared<caller_session>(std::move(socket), *this);
     m_sessions.emplace(session.get(), session);
     session->start();
@@ -138,6 +156,7 @@
         [&](answer_piece&& piece) { deliver(std::move(piece)); },
         [&](answer_end&& end) { deliver(end); },
         [&](set_ready&& ready) { m_isReady = ready.isReady; },
+        [&](set_caller_limits&& changed) { m_limits = changed.limits; },
         [&](begin_drain&&) { m_isDraining = true; },
         [&](stop_accepting&&) { stopAccepting(); },
         [&](finish_callers&&) { finish(); },
--- a/src/kumquatbeam/duties/callers_duty.hpp
+++ b/src/kumquatbeam/duties/callers_duty.hpp
@@ -18,12 +18,12 @@
 /// The duty of accepting callers and speaking with them.
 class callers_duty final : public caller_host {
 public:
-    callers_duty(const router_settings&, duty_links&);
+    /// Runs on the thread of the traffic, which is shared with the endpoints duty.
+    callers_duty(const router_settings&, const caller_dialect&, duty_thread& traffic, duty_links&);
 
-    /// Listens on the callers' address.
+    /// Listens on the callers' address, and on the balancer's where that is another one.
     absl::Status listen();
     void start();
-    void stop() { m_duty.stop(); }
 
     duty<caller_command>& inbox() { return m_duty; }
 
@@ -37,9 +37,10 @@
     bool isReady() const override { return m_isReady && !m_isDraining; }
     bool isDraining() const override { return m_isDraining; }
     time_point earliestArrival() override { return m_arrivals.earliestArrival(); }
-    std::uint64_t bodyLimit() const override { return static_cast<std::uint64_t>(m_settings.bodyLimit); }
+    const caller_dialect& dialect() const override { return m_dialect; }
+    const caller_limits& limits() const override { return m_limits; }
 
-    void accept();
+    void accept(boost::asio::ip::tcp::acceptor&);
     void begin(boost::asio::ip::tcp::socket);
     void stopAccepting();
     void finish();
@@ -47,10 +48,13 @@
     void handle(caller_command);
 
     const router_settings& m_settings;
+    const caller_dialect& m_dialect;
     duty_links& m_links;
     duty<caller_command> m_duty;
     arrival_watch m_arrivals;
+    caller_limits m_limits;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::ip::tcp::acceptor m_readinessAcceptor;
     std::unordered_map<request_id, std::shared_ptr<caller_session>> m_inProgress;
     /// Every open connection, by address.
     std::unordered_map<caller_session*, std::weak_ptr<caller_session>> m_sessions;
--- a/src/kumquatbeam/duties/decisions_duty.cpp
+++ b/src/kumquatbeam/duties/decisions_duty.cpp
@@ -8,11 +8,11 @@
 
 namespace kumquatbeam {
 
-decisions_duty::decisions_duty(const router_settings& settings, incarnation life, duty_links& links, decision_log& log)
+decisions_duty::decisions_duty(const router_settings& settings, duty_links& links, const engine_factory& makeEngine)
     : m_links(links)
     , m_duty("decisions", decisionsRing(settings))
     , m_timer(m_duty.context())
-    , m_core(settings, life, *this, log)
+    , m_engine(makeEngine(*this))
 {
 }
 
@@ -49,13 +49,13 @@
 
 void decisions_duty::handle(const decision_event& event)
 {
-    m_core.handle(event, clock::now());
+    m_engine->handle(event, clock::now());
     armTimer();
 }
 
 void decisions_duty::armTimer()
 {
-    const auto next = m_core.nextDeadline();
+    const auto next = m_engine->nextDeadline();
     if (next == m_armedFor)
         return;
     m_armedFor = next;
@@ -68,7 +68,7 @@
         if (error)
             return;
         m_armedFor = never;
-        m_core.onDeadline(clock::now());
+        m_engine->onDeadline(clock::now());
         armTimer();
     });
 }
--- a/src/kumquatbeam/duties/decisions_duty.hpp
+++ b/src/kumquatbeam/duties/decisions_duty.hpp
@@ -1,17 +1,24 @@
 #pragma once
 
-#include "kumquatbeam/controllers/decision_core.hpp"
+#include "kumquatbeam/controllers/decision_engine.hpp"
 #include "kumquatbeam/duties/duty_links.hpp"
 #include "kumquatbeam/runtime/duty.hpp"
+#include "kumquatbeam/settings/router_settings.hpp"
 
-#include <boost/asio/steady_timer.hpp>
+#include "kumquatbeam/runtime/deadline_timer.hpp"
+
+#include <functional>
+#include <memory>
 
 namespace kumquatbeam {
 
-/// The duty of deciding: runs the decision core on its own thread and sleeps until an event or its next deadline.
+/// The duty of deciding: runs a decision engine on its own thread and sleeps until an event or its next deadline.
 class decisions_duty final : private command_outlet {
 public:
-    decisions_duty(const router_settings&, incarnation, duty_links&, decision_log&);
+    /// Makes the engine that decides; its commands go out by the outlet.
+    using engine_factory = std::function<std::unique_ptr<decision_engine>(command_outlet&)>;
+
+    decisions_duty(const router_settings&, duty_links&, const engine_factory&);
 
     void start();
     void stop() { m_duty.stop(); }
@@ -29,9 +36,9 @@
 
     duty_links& m_links;
     duty<decision_event> m_duty;
-    boost::asio::steady_timer m_timer;
+    deadline_timer m_timer;
     time_point m_armedFor = never;
-    decision_core m_core;
+    std::unique_ptr<decision_engine> m_engine;
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/duties/endpoints_duty.cpp
+++ b/src/kumquatbeam/duties/endpoints_duty.cpp
@@ -9,11 +9,21 @@
 
 namespace kumquatbeam {
 
-endpoints_duty::endpoints_duty(const router_settings& settings, incarnation life, duty_links& links)
+namespace {
+
+    /// How often idle connections are looked at. Shorter than any idle limit that an endpoint can state.
+    constexpr std::chrono::milliseconds sweepPeriod { 500 };
+
+} // namespace
+
+endpoints_duty::endpoints_duty(const router_settings& settings, incarnation life, const endpoint_dialect& dialect,
+    duty_thread& traffic, duty_links& links)
     : m_settings(settings)
     , m_life(life)
+    , m_dialect(dialect)
     , m_links(links)
-    , m_duty("endpoints", endpointsRing(settings))
+    , m_duty(traffic, endpointsRing(settings))
+    , m_sweep(traffic.context())
 {
 }
 
@@ -33,6 +43,31 @@
     m_links.decisions->post(std::move(ended));
 }
 
+std::shared_ptr<endpoint_connection> endpoints_duty::takeConnection(const start_attempt& attempt)
+{
+    return m_connections.take(attempt.to, attempt.needsFreshConnection, clock::now());
+}
+
+void endpoints_duty::keepConnection(std::shared_ptr<endpoint_connection> connection, const connection_terms& terms)
+{
+    m_connections.put(std::move(connection), terms.idleTimeout, clock::now());
+    if (!std::exchange(m_isSweeping, true))
+        sweepConnections();
+}
+
+void endpoints_duty::sweepConnections()
+{
+    m_connections.closeExpired(clock::now());
+    m_isSweeping = !m_connections.isEmpty();
+    if (!m_isSweeping)
+        return;
+    m_sweep.expires_after(sweepPeriod);
+    m_sweep.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            sweepConnections();
+    });
+}
+
 std::string endpoints_duty::streamIdOf(request_id id) const
 {
     return absl::StrCat(m_settings.self.value, ".", absl::Hex(m_life.value), ".", id.value);
@@ -56,6 +91,7 @@
             withSession(consumed.id, [](endpoint_session& session) { session.pieceConsumed(); });
         },
         [&](watch_endpoints&& watched) { watch(watched); },
+        [&](keep_endpoints&& kept) { m_connections.keepOnly(kept.endpoints); },
     };
     std::visit(handlers, std::move(command));
 }
--- a/src/kumquatbeam/duties/endpoints_duty.hpp
+++ b/src/kumquatbeam/duties/endpoints_duty.hpp
@@ -2,7 +2,9 @@
 
 #include "kumquatbeam/controllers/command.hpp"
 #include "kumquatbeam/duties/duty_links.hpp"
+#include "kumquatbeam/runtime/deadline_timer.hpp"
 #include "kumquatbeam/runtime/duty.hpp"
+#include "kumquatbeam/sessions/connection_pool.hpp"
 #include "kumquatbeam/sessions/endpoint_session.hpp"
 #include "kumquatbeam/sessions/load_probe.hpp"
 #include "kumquatbeam/settings/router_settings.hpp"
@@ -16,30 +18,39 @@
 /// The duty of speaking with endpoints: attempts at calls, and queries for load.
 class endpoints_duty final : public endpoint_host {
 public:
-    endpoints_duty(const router_settings&, incarnation, duty_links&);
+    /// Runs on the thread of the traffic, which is shared with the callers duty: the pieces of an answer pass from one
+    /// connection to the other without waking a thread.
+    endpoints_duty(const router_settings&, incarnation, const endpoint_dialect&, duty_thread& traffic, duty_links&);
 
     void start();
-    void stop() { m_duty.stop(); }
 
     duty<endpoint_command>& inbox() { return m_duty; }
 
 private:
+    const endpoint_dialect& dialect() const override { return m_dialect; }
     void relay(caller_command) override;
     void finish(attempt_ended) override;
     std::string streamIdOf(request_id) const override;
     std::uint64_t bodyLimit() const override { return static_cast<std::uint64_t>(m_settings.bodyLimit); }
     const std::string& sourceAddress() const override { return m_settings.sourceAddress; }
+    std::shared_ptr<endpoint_connection> takeConnection(const start_attempt&) override;
+    void keepConnection(std::shared_ptr<endpoint_connection>, const connection_terms&) override;
 
     void handle(endpoint_command);
     void begin(start_attempt);
     void watch(const watch_endpoints&);
+    void sweepConnections();
 
     const router_settings& m_settings;
     incarnation m_life;
+    const endpoint_dialect& m_dialect;
     duty_links& m_links;
     duty<endpoint_command> m_duty;
     std::unordered_map<request_id, std::shared_ptr<endpoint_session>> m_attempts;
     std::map<endpoint_id, std::shared_ptr<load_probe>> m_probes;
+    connection_pool m_connections;
+    deadline_timer m_sweep;
+    bool m_isSweeping = false;
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/duties/peers_duty.hpp
+++ b/src/kumquatbeam/duties/peers_duty.hpp
@@ -7,8 +7,8 @@
 #include "kumquatbeam/sessions/peer_session.hpp"
 #include "kumquatbeam/settings/router_settings.hpp"
 
+#include "kumquatbeam/runtime/deadline_timer.hpp"
 #include <absl/status/status.h>
-#include <boost/asio/steady_timer.hpp>
 
 #include <map>
 #include <memory>
@@ -60,7 +60,7 @@
     duty<peer_command> m_duty;
     arrival_watch m_arrivals;
     boost::asio::ip::tcp::acceptor m_acceptor;
-    boost::asio::steady_timer m_reconnect;
+    deadline_timer m_reconnect;
     std::map<entry_vm_id, entry_vm> m_members;
     std::map<entry_vm_id, std::shared_ptr<peer_session>> m_sessions;
     std::map<entry_vm_id, pending_connection> m_connecting;
--- a/src/kumquatbeam/duties/router_process.cpp
+++ b/src/kumquatbeam/duties/router_process.cpp
@@ -1,13 +1,18 @@
 #include "kumquatbeam/duties/router_process.hpp"
 
+#include "kumquatbeam/controllers/decision_core.hpp"
+
+#include <memory>
 #include <random>
 
 namespace kumquatbeam {
 
 router_process::router_process(const router_settings& settings, incarnation life, decision_log& log)
-    : m_decisions(settings, life, m_links, log)
-    , m_callers(settings, m_links)
-    , m_endpoints(settings, life, m_links)
+    : m_trafficThread("traffic")
+    , m_decisions(settings, m_links,
+          [&](command_outlet& commands) { return std::make_unique<decision_core>(settings, life, commands, log); })
+    , m_callers(settings, m_callerDialect, m_trafficThread, m_links)
+    , m_endpoints(settings, life, m_endpointDialect, m_trafficThread, m_links)
     , m_peers(settings, life, m_links)
     , m_operators(settings, m_links, [this](operators_duty::ending how) { m_ending.set_value(how); })
     , m_platform(settings, m_links)
@@ -32,12 +37,12 @@
     m_callers.start();
     m_peers.start();
     m_operators.start();
+    m_trafficThread.start();
     m_platform.start();
     const auto how = m_ending.get_future().get();
     m_platform.stop();
-    m_callers.stop();
+    m_trafficThread.stop();
     m_peers.stop();
-    m_endpoints.stop();
     m_operators.stop();
     m_decisions.stop();
     return how;
--- a/src/kumquatbeam/duties/router_process.hpp
+++ b/src/kumquatbeam/duties/router_process.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "kumquatbeam/codec/own_dialect.hpp"
+#include "kumquatbeam/controllers/decision_log.hpp"
 #include "kumquatbeam/duties/callers_duty.hpp"
 #include "kumquatbeam/duties/decisions_duty.hpp"
 #include "kumquatbeam/duties/duty_links.hpp"
@@ -30,6 +32,10 @@
     std::promise<operators_duty::ending> m_ending;
     control_traffic m_traffic;
     duty_links m_links;
+    own_caller_dialect m_callerDialect;
+    own_endpoint_dialect m_endpointDialect;
+    /// The thread that callers and endpoints share.
+    duty_thread m_trafficThread;
     decisions_duty m_decisions;
     callers_duty m_callers;
     endpoints_duty m_endpoints;
--- /dev/null
+++ b/src/kumquatbeam/filters/key_filter.cpp
@@ -0,0 +1,32 @@
+#include "kumquatbeam/filters/key_filter.hpp"
+
+#include "kumquatbeam/controllers/route_controller.hpp"
+
+namespace kumquatbeam {
+
+namespace {
+
+    /// When a caller may come back to a router whose keys are stale. Another router is asked then, or a read has come.
+    constexpr std::chrono::milliseconds retryDelay { 100 };
+
+} // namespace
+
+std::optional<call_reply> key_filter::apply(request_context& context, time_point now) const
+{
+    const auto& matched = *context.matched;
+    if (matched.route->isPublic || !matched.table->hasAccounts)
+        return std::nullopt;
+    if (now >= m_routes.keysEndAt()) {
+        auto reply = notRun({ failure_kind::KeysStale });
+        reply.retryAt = now + retryDelay;
+        return reply;
+    }
+    const auto* account = matched.table->accountOf(context.call->credential);
+    if (!account)
+        return notRun({ failure_kind::UnknownAccount, "credential" });
+    context.account = *account;
+    context.sendBefore = m_routes.keysEndAt();
+    return std::nullopt;
+}
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/filters/request_filter.hpp
+++ b/src/kumquatbeam/filters/request_filter.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "kumquatbeam/filters/request_context.hpp"
+#include "kumquatbeam/types/request_context.hpp"
 
 #include <optional>
 #include <string_view>
--- /dev/null
+++ b/src/kumquatbeam/filters/room_filter.cpp
@@ -0,0 +1,42 @@
+#include "kumquatbeam/filters/room_filter.hpp"
+
+#include "kumquatbeam/controllers/dispatch_controller.hpp"
+#include "kumquatbeam/types/wire_key.hpp"
+
+#include <algorithm>
+
+namespace kumquatbeam {
+
+namespace {
+
+    /// @{ When a refused caller is told to come back: the least time, and the span over which callers are spread so
+    /// that they do not come back together.
+    constexpr std::chrono::milliseconds shortestDelay { 300 };
+    constexpr std::chrono::milliseconds delaySpread { 700 };
+    /// @}
+
+    /// Part of the caller's time left that it may be told to wait; callers give up on more.
+    constexpr double waitPart = 0.3;
+
+    time_point retryTimeOf(const request_context& context, time_point now)
+    {
+        const auto spread = static_cast<std::uint64_t>(delaySpread.count());
+        const auto delay = shortestDelay + std::chrono::milliseconds(wireKeyOf(context.call->label).value % spread);
+        const auto longest = std::chrono::duration_cast<clock::duration>((context.deadline - now) * waitPart);
+        return now + std::min<clock::duration>(delay, longest);
+    }
+
+} // namespace
+
+std::optional<call_reply> room_filter::apply(request_context& context, time_point now) const
+{
+    if (m_dispatch.choose(context, now))
+        return std::nullopt;
+    const auto& pool = context.matched->pool;
+    const auto kind = m_dispatch.hasUsable(pool, now) ? failure_kind::PoolBusy : failure_kind::NoEndpoint;
+    auto reply = notRun({ kind, pool.value });
+    reply.retryAt = retryTimeOf(context, now);
+    return reply;
+}
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/load/load_order.hpp
+++ b/src/kumquatbeam/load/load_order.hpp
@@ -4,9 +4,9 @@
 #include "kumquatbeam/load/load_mix.hpp"
 #include "kumquatbeam/load/load_tally.hpp"
 
+#include "kumquatbeam/runtime/deadline_timer.hpp"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -64,7 +64,7 @@
     order_routers m_routers;
     std::string m_id;
     completion m_completion;
-    boost::asio::steady_timer m_pause;
+    deadline_timer m_pause;
     std::string m_ticket;
     std::int64_t m_ticketRequests = 0;
     std::vector<attempt> m_attempts;
--- a/src/kumquatbeam/load/load_run.cpp
+++ b/src/kumquatbeam/load/load_run.cpp
@@ -45,8 +45,8 @@
         auto routers = routersOf(stream, m_plan.routers.size());
         const auto length = stream.endsAfter.count() > 0 ? stream.endsAfter : std::chrono::milliseconds(m_plan.length);
         const auto startsAt = now + stream.startsAfter;
-        m_streams.push_back({ std::move(stream), std::move(routers), {}, boost::asio::steady_timer(m_context), startsAt,
-            now + length });
+        m_streams.push_back(
+            { std::move(stream), std::move(routers), {}, deadline_timer(m_context), startsAt, now + length });
     }
 }
 
@@ -136,7 +136,7 @@
         call(stream, true);
         return;
     }
-    const auto pause = std::make_shared<boost::asio::steady_timer>(m_context, pauseAfterRefusal);
+    const auto pause = std::make_shared<deadline_timer>(m_context, pauseAfterRefusal);
     pause->async_wait([this, &stream, pause](const boost::system::error_code&) { call(stream, true); });
 }
 
--- a/src/kumquatbeam/load/load_run.hpp
+++ b/src/kumquatbeam/load/load_run.hpp
@@ -5,9 +5,9 @@
 #include "kumquatbeam/load/load_order.hpp"
 #include "kumquatbeam/load/load_tally.hpp"
 
+#include "kumquatbeam/runtime/deadline_timer.hpp"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <fstream>
@@ -40,7 +40,7 @@
         load_stream plan;
         std::vector<std::size_t> routers;
         load_tally tally;
-        boost::asio::steady_timer nextArrival;
+        deadline_timer nextArrival;
         time_point startsAt;
         time_point endsAt;
     };
--- a/src/kumquatbeam/platform/platform_watch.hpp
+++ b/src/kumquatbeam/platform/platform_watch.hpp
@@ -3,7 +3,7 @@
 #include "kumquatbeam/settings/router_settings.hpp"
 #include "kumquatbeam/types/ids.hpp"
 
-#include <boost/asio/steady_timer.hpp>
+#include "kumquatbeam/runtime/deadline_timer.hpp"
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -39,7 +39,7 @@
     const router_settings& m_settings;
     std::string m_path;
     receiver m_receiver;
-    boost::asio::steady_timer m_pause;
+    deadline_timer m_pause;
     std::minstd_rand m_random;
     std::optional<boost::beast::tcp_stream> m_stream;
     boost::beast::flat_buffer m_buffer;
--- a/src/kumquatbeam/runtime/arrival_watch.hpp
+++ b/src/kumquatbeam/runtime/arrival_watch.hpp
@@ -2,8 +2,8 @@
 
 #include "kumquatbeam/runtime/arrival_clock.hpp"
 
+#include "kumquatbeam/runtime/deadline_timer.hpp"
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 namespace kumquatbeam {
 
@@ -31,7 +31,7 @@
     time_point earliestArrival() { return m_arrivals.earliestArrival(clock::now()); }
 
 private:
-    boost::asio::steady_timer m_timer;
+    deadline_timer m_timer;
     arrival_clock m_arrivals;
 };
 
--- /dev/null
+++ b/src/kumquatbeam/runtime/deadline_timer.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "kumquatbeam/types/time.hpp"
+
+#include <boost/asio/basic_waitable_timer.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace kumquatbeam {
+
+/// An Asio timer that waits for a deadline of `clock`.
+using deadline_timer = boost::asio::basic_waitable_timer<clock>;
+
+/// Time until a deadline for streams whose limits count from now; never negative.
+inline std::chrono::nanoseconds timeLeftUntil(time_point deadline)
+{
+    /// Longer waits than this are as good as none, and sums with the present stay in range.
+    constexpr std::chrono::hours longestWait { 24 };
+    const auto now = clock::now();
+    if (deadline <= now)
+        return std::chrono::nanoseconds { 0 };
+    return deadline - now > longestWait ? std::chrono::nanoseconds(longestWait) : deadline - now;
+}
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/runtime/duty.hpp
+++ b/src/kumquatbeam/runtime/duty.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -14,28 +15,41 @@
 namespace kumquatbeam {
 
 /// One duty: a thread with its own I/O context that takes messages from its ring. It sleeps in the kernel until a
-/// message, a socket or a timer is ready.
+/// message, a socket or a timer is ready. Two inboxes of one duty may share its thread.
 template <typename Message> class duty {
 public:
     using message_handler = std::function<void(Message)>;
 
     duty(std::string name, ring_limits limits)
         : m_ring(limits)
-        , m_thread(std::move(name))
+        , m_own(std::make_unique<duty_thread>(std::move(name)))
+        , m_thread(*m_own)
+    {
+    }
+
+    /// An inbox on the thread of another duty, which whoever owns the thread starts and stops.
+    duty(duty_thread& thread, ring_limits limits)
+        : m_ring(limits)
+        , m_thread(thread)
     {
     }
 
     boost::asio::io_context& context() { return m_thread.context(); }
 
-    /// Starts the thread; the handler runs on it, once for each message.
+    /// Starts the duty's own thread; the handler runs on it, once for each message.
     void start(message_handler handler)
     {
         m_handler = std::move(handler);
-        m_thread.start();
+        if (m_own)
+            m_own->start();
     }
 
-    /// Ends the thread after the handler that is running; what is still in the ring is dropped.
-    void stop() { m_thread.stop(); }
+    /// Ends the duty's own thread after the handler that is running; what is still in the ring is dropped.
+    void stop()
+    {
+        if (m_own)
+            m_own->stop();
+    }
 
     /// Hands over a message that may be refused. Any thread may call it.
     [[nodiscard]] bool tryPost(Message message)
@@ -68,7 +82,8 @@
     bounded_ring<Message> m_ring;
     message_handler m_handler;
     std::vector<Message> m_batch;
-    duty_thread m_thread;
+    std::unique_ptr<duty_thread> m_own;
+    duty_thread& m_thread;
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/runtime/log_writer.cpp
+++ b/src/kumquatbeam/runtime/log_writer.cpp
@@ -59,10 +59,12 @@
 {
     if (!takeLine())
         return;
-    BOOST_LOG_TRIVIAL(info) << "placement: request=" << record.request.value << " account=" << record.account.value
-                            << " pool=" << record.pool.value << " endpoint=" << record.endpoint.value << " because=\""
-                            << record.reason << "\" next-best=" << record.runnerUp.value << " not-it=\""
-                            << record.runnerUpReason << "\"";
+    BOOST_LOG_TRIVIAL(info) << "placement: request=" << record.request.value << " id=" << record.label.value
+                            << " account=" << record.account.value << " pool=" << record.pool.value
+                            << " endpoint=" << record.endpoint.value << " attempt=" << record.attempt
+                            << " wait-us=" << record.wait.count() << " because=\"" << record.reason
+                            << "\" next-best=" << record.runnerUp.value << " not-it=\"" << record.runnerUpReason
+                            << "\"";
 }
 
 void log_writer::refused(const refusal_record& record)
@@ -70,9 +72,22 @@
     if (!takeLine())
         return;
     BOOST_LOG_TRIVIAL(info) << record.decidedBy << ": refused request=" << record.request.value
+                            << " id=" << record.label.value << " account=" << record.account.value
+                            << " pool=" << record.pool.value << " failure=" << nameOf(record.problem.kind)
+                            << " because=\"" << describe(record.problem) << "\"";
+}
+
+void log_writer::ended(const outcome_record& record)
+{
+    if (!takeLine())
+        return;
+    BOOST_LOG_TRIVIAL(info) << "outcome: request=" << record.request.value << " id=" << record.label.value
                             << " account=" << record.account.value << " pool=" << record.pool.value
-                            << " failure=" << nameOf(record.problem.kind) << " because=\"" << describe(record.problem)
-                            << "\"";
+                            << " endpoint=" << record.endpoint.value << " kind=" << nameOf(record.kind)
+                            << " status=" << record.status.value << " failure=" << nameOf(record.problem)
+                            << " attempts=" << record.attempts
+                            << " first-byte-ms=" << (record.firstByte ? record.firstByte->count() : -1)
+                            << " total-ms=" << record.total.count();
 }
 
 void log_writer::changed(const change_record& record)
@@ -108,7 +123,7 @@
 log_sink::log_sink(const router_settings& settings)
 {
     const auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
     backend->auto_flush(true);
     const auto sink = boost::make_shared<queued_sink>(backend);
     namespace expr = logging::expressions;
--- a/src/kumquatbeam/runtime/log_writer.hpp
+++ b/src/kumquatbeam/runtime/log_writer.hpp
@@ -16,6 +16,7 @@
 
     void placed(const placement_record&) override;
     void refused(const refusal_record&) override;
+    void ended(const outcome_record&) override;
     void changed(const change_record&) override;
     void failed(std::string_view part, const failure&) override;
 
@@ -29,7 +30,7 @@
     std::int64_t m_dropped = 0;
 };
 
-/// Sends log lines to standard error from a thread of its own. When its queue is full, lines are dropped: a slow
+/// Sends log lines to standard output from a thread of its own. When its queue is full, lines are dropped: a slow
 /// terminal must not slow the router.
 class log_sink {
 public:
--- a/src/kumquatbeam/sessions/caller_session.cpp
+++ b/src/kumquatbeam/sessions/caller_session.cpp
@@ -1,16 +1,16 @@
 #include "kumquatbeam/sessions/caller_session.hpp"
 
 #include "kumquatbeam/filters/request_filter.hpp"
+#include "kumquatbeam/runtime/deadline_timer.hpp"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <sys/socket.h>
-
 #include <chrono>
 #include <sstream>
+#include <string_view>
 #include <utility>
 
 namespace kumquatbeam {
@@ -21,20 +21,17 @@
 
 namespace {
 
-    constexpr std::uint32_t headerLimit = 16 * 1024;
-    constexpr std::chrono::seconds idleTimeout { 120 };
     constexpr std::chrono::seconds writeTimeout { 60 };
     constexpr std::chrono::seconds discardTimeout { 2 };
     constexpr std::size_t discardSize = 64 * 1024;
     constexpr unsigned http11 = 11;
 
-    /// Whether the other side has closed its half of the connection.
-    bool hasClosed(int descriptor)
-    {
-        char byte = 0;
-        const auto received = ::recv(descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
-        return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    }
+    /// Bytes of further requests that are taken in while one is in progress.
+    constexpr std::size_t pipelinedLimit = 64 * 1024;
+    constexpr std::size_t pipelinedPiece = 4096;
+
+    /// Room for a typical request, so that it is read at once.
+    constexpr std::size_t firstRead = 16 * 1024;
 
 } // namespace
 
@@ -46,6 +43,7 @@
 
 void caller_session::start()
 {
+    m_buffer.reserve(firstRead);
     readRequest();
 }
 
@@ -65,7 +63,7 @@
         return;
     m_hasHeadGone = true;
     std::ostringstream head;
-    head << encodeAnswerHead(command.status, command.contentType, m_httpVersion);
+    head << m_host.dialect().encodeAnswerHead(command, m_httpVersion);
     enqueue({ outgoing::form::Plain, head.str() });
 }
 
@@ -92,9 +90,53 @@
 {
     m_isReading = true;
     m_parser.emplace();
-    m_parser->header_limit(headerLimit);
-    m_parser->body_limit(m_host.bodyLimit());
-    m_stream.expires_after(idleTimeout);
+    m_parser->eager(true);
+    m_parser->header_limit(static_cast<std::uint32_t>(m_host.limits().header.value));
+    m_parser->body_limit(m_host.limits().body.value);
+    m_stream.expires_after(m_host.limits().idleTimeout);
+    http::async_read_some(m_stream, m_buffer, *m_parser,
+        [self = shared_from_this()](beast::error_code error, std::size_t) { self->onFirstBytes(error); });
+}
+
+void caller_session::onFirstBytes(beast::error_code error)
+{
+    if (error || m_parser->is_header_done()) {
+        onHeader(error);
+        return;
+    }
+    m_stream.expires_after(m_host.limits().headerTimeout);
+    http::async_read_header(m_stream, m_buffer, *m_parser,
+        [self = shared_from_this()](beast::error_code failed, std::size_t) { self->onHeader(failed); });
+}
+
+void caller_session::onHeader(beast::error_code error)
+{
+    if (error || m_parser->is_done()) {
+        onRead(error);
+        return;
+    }
+    m_stream.expires_after(m_host.limits().idleTimeout);
+    const auto expectation = m_parser->get()[http::field::expect];
+    if (beast::iequals(expectation, "100-continue"))
+        inviteBody();
+    else
+        readBody();
+}
+
+void caller_session::inviteBody()
+{
+    static constexpr std::string_view invitation = "HTTP/1.1 100 Continue\r\n\r\n";
+    asio::async_write(
+        m_stream, asio::buffer(invitation), [self = shared_from_this()](beast::error_code error, std::size_t) {
+            if (error)
+                self->onRead(error);
+            else
+                self->readBody();
+        });
+}
+
+void caller_session::readBody()
+{
     http::async_read(m_stream, m_buffer, *m_parser,
         [self = shared_from_this()](beast::error_code error, std::size_t) { self->onRead(error); });
 }
@@ -117,11 +159,14 @@
 
 void caller_session::refuse(beast::error_code error)
 {
-    const auto kind = error == http::error::body_limit ? failure_kind::RequestTooLarge : failure_kind::MalformedRequest;
-    const auto place = error == http::error::body_limit ? "body" : "header";
+    failure problem { failure_kind::MalformedRequest, "header", error.message() };
+    if (error == http::error::body_limit)
+        problem = { failure_kind::RequestTooLarge, "body" };
+    else if (error == http::error::header_limit)
+        problem = { failure_kind::HeaderTooLarge, "header" };
     m_isRefusedUnread = true;
     m_discardUntil = clock::now() + discardTimeout;
-    writeReply(notRun({ kind, place, error.message() }), false);
+    writeReply(notRun(std::move(problem)), false);
 }
 
 void caller_session::handleRequest()
@@ -135,14 +180,16 @@
         writeReply(notRun({ failure_kind::MalformedRequest, "version", "HTTP/1.0", "HTTP/1.1" }), false);
         return;
     }
-    if (request.target() == "/ready") {
+    const auto& dialect = m_host.dialect();
+    if (request.target() == dialect.readinessTarget().data()) {
         writeReply(m_host.isReady() ? call_reply { .kind = reply_kind::Answered } : notRun({ failure_kind::NotReady }),
             m_keepAlive);
         return;
     }
-    auto call = decodeCall(std::move(request), m_host.earliestArrival());
+    auto call = dialect.decode(std::move(request), m_host.earliestArrival());
     if (!call.ok()) {
-        writeReply(notRun(failureOf(call.status()).value_or(failure { failure_kind::MalformedRequest })), m_keepAlive);
+        // Where the frame of a request is in doubt, so is where the next one begins.
+        writeReply(notRun(failureOf(call.status()).value_or(failure { failure_kind::MalformedRequest })), false);
         return;
     }
     // Another delivery of the same order may be on its way, so a refusal here proves nothing about it.
@@ -162,11 +209,26 @@
         asio::socket_base::wait_read, [self = shared_from_this(), watched = *m_request](beast::error_code error) {
             if (error || self->m_request != watched)
                 return;
-            if (hasClosed(self->m_stream.socket().native_handle()))
+            if (!self->takePipelined())
                 self->leave();
+            else if (self->m_buffer.size() < pipelinedLimit)
+                self->watchForLeaving();
         });
 }
 
+bool caller_session::takePipelined()
+{
+    // The next request may come before this one is answered. Its bytes are taken in, or the end of the connection
+    // behind them would go unnoticed.
+    beast::error_code error;
+    m_stream.socket().non_blocking(true, error);
+    const auto received = m_stream.socket().read_some(m_buffer.prepare(pipelinedPiece), error);
+    if (error && error != asio::error::would_block)
+        return false;
+    m_buffer.commit(error ? 0 : received);
+    return true;
+}
+
 void caller_session::leave()
 {
     m_host.abandon(*m_request);
@@ -178,7 +240,7 @@
     m_keepAlive = keepAlive && !m_host.isDraining();
     m_isLastQueued = true;
     std::ostringstream text;
-    text << encodeReply(reply, m_httpVersion, m_keepAlive, clock::now());
+    text << m_host.dialect().encodeReply(reply, m_httpVersion, m_keepAlive, clock::now());
     enqueue({ outgoing::form::Plain, text.str() });
 }
 
@@ -247,7 +309,7 @@
     // Closing while the caller still sends would reset the connection, and the caller might never read the refusal.
     beast::error_code ignored;
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    m_stream.expires_at(m_discardUntil);
+    m_stream.expires_after(timeLeftUntil(m_discardUntil));
     m_buffer.clear();
     m_stream.async_read_some(
         m_buffer.prepare(discardSize), [self = shared_from_this()](beast::error_code error, std::size_t) {
--- a/src/kumquatbeam/sessions/caller_session.hpp
+++ b/src/kumquatbeam/sessions/caller_session.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "kumquatbeam/codec/http_call.hpp"
+#include "kumquatbeam/codec/caller_dialect.hpp"
 #include "kumquatbeam/controllers/command.hpp"
 #include "kumquatbeam/types/ids.hpp"
 #include "kumquatbeam/types/time.hpp"
@@ -50,7 +50,9 @@
     /// The time after which bytes that are read now have arrived; the times left that they state count from it.
     virtual time_point earliestArrival() = 0;
 
-    virtual std::uint64_t bodyLimit() const = 0;
+    virtual const caller_dialect& dialect() const = 0;
+
+    virtual const caller_limits& limits() const = 0;
 };
 
 /// One caller's connection: reads a request, waits for its reply, writes it, reads the next.
@@ -83,10 +85,15 @@
     };
 
     void readRequest();
+    void onFirstBytes(boost::beast::error_code);
+    void onHeader(boost::beast::error_code);
+    void inviteBody();
+    void readBody();
     void onRead(boost::beast::error_code);
     void refuse(boost::beast::error_code);
     void handleRequest();
     void watchForLeaving();
+    bool takePipelined();
     void leave();
     void writeReply(const call_reply&, bool keepAlive);
     void enqueue(outgoing);
--- a/src/kumquatbeam/sessions/connect.cpp
+++ b/src/kumquatbeam/sessions/connect.cpp
@@ -1,9 +1,31 @@
 #include "kumquatbeam/sessions/connect.hpp"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+
 namespace kumquatbeam {
 
+namespace asio = boost::asio;
+
 using boost::asio::ip::tcp;
 
+namespace {
+
+    using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    using probe_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using probe_interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using probe_count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+
+    /// @{ Probes of a connection without traffic: with these a silent partner is noticed after three seconds.
+    constexpr int probeIdleSeconds = 1;
+    constexpr int probeIntervalSeconds = 1;
+    constexpr int probeLimit = 2;
+    /// @}
+
+} // namespace
+
 std::optional<tcp::endpoint> openTowards(
     tcp::socket& socket, const std::string& source, const std::string& address, std::int64_t port)
 {
@@ -21,4 +43,23 @@
     return remote;
 }
 
+void watchForSilence(tcp::socket& socket, std::chrono::milliseconds unacknowledgedLimit)
+{
+    // A system that lacks one of these options still serves; the attempt's own deadline holds in any case.
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(user_timeout(static_cast<int>(unacknowledgedLimit.count())), ignored);
+    socket.set_option(probe_idle(probeIdleSeconds), ignored);
+    socket.set_option(probe_interval(probeIntervalSeconds), ignored);
+    socket.set_option(probe_count(probeLimit), ignored);
+}
+
+bool hasUnaskedInput(tcp::socket& socket)
+{
+    char byte = 0;
+    const auto received = ::recv(socket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 } // namespace kumquatbeam
--- a/src/kumquatbeam/sessions/connect.hpp
+++ b/src/kumquatbeam/sessions/connect.hpp
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/system/error_code.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -14,4 +15,11 @@
 std::optional<boost::asio::ip::tcp::endpoint> openTowards(
     boost::asio::ip::tcp::socket&, const std::string& source, const std::string& address, std::int64_t port);
 
+/// Sets what a connection for calls needs: no delay of small writes, probes that show a silent partner, and an end when
+/// sent bytes stay unacknowledged for longer than the limit.
+void watchForSilence(boost::asio::ip::tcp::socket&, std::chrono::milliseconds unacknowledgedLimit);
+
+/// Whether the other side has sent bytes that nobody asked for, or has closed the connection.
+bool hasUnaskedInput(boost::asio::ip::tcp::socket&);
+
 } // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/sessions/connection_pool.cpp
@@ -0,0 +1,71 @@
+#include "kumquatbeam/sessions/connection_pool.hpp"
+
+#include "kumquatbeam/sessions/connect.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquatbeam {
+
+namespace {
+
+    /// Part of the endpoint's own idle limit for which a connection is kept, so that the router gives it up first.
+    constexpr double keptPart = 0.7;
+
+} // namespace
+
+std::shared_ptr<endpoint_connection> connection_pool::take(const endpoint_address& to, bool mustBeFresh, time_point now)
+{
+    const auto found = m_idle.find(to.endpoint);
+    if (found == m_idle.end())
+        return nullptr;
+    auto& connections = found->second;
+    std::shared_ptr<endpoint_connection> taken;
+    while (!connections.empty() && !taken) {
+        auto candidate = connections.back();
+        const bool isUsable = candidate->to == to && now < candidate->keepUntil && !hasUnaskedInput(candidate->socket);
+        const bool isFresh = now < candidate->idleSince + freshFor;
+        if (isUsable && mustBeFresh && !isFresh)
+            break;
+        connections.pop_back();
+        if (isUsable)
+            taken = std::move(candidate);
+    }
+    if (connections.empty())
+        m_idle.erase(found);
+    if (taken)
+        taken->idleSince = never;
+    return taken;
+}
+
+void connection_pool::put(
+    std::shared_ptr<endpoint_connection> connection, std::optional<std::chrono::seconds> idleTimeout, time_point now)
+{
+    connection->idleSince = now;
+    const auto limit = idleTimeout.value_or(defaultIdleTimeout);
+    connection->keepUntil = now + std::chrono::duration_cast<clock::duration>(limit * keptPart);
+    auto& connections = m_idle[connection->to.endpoint];
+    connections.push_back(std::move(connection));
+    if (connections.size() > idleLimit)
+        connections.pop_front();
+}
+
+void connection_pool::keepOnly(const std::vector<endpoint_address>& endpoints)
+{
+    std::erase_if(m_idle, [&](const auto& entry) {
+        return std::none_of(endpoints.begin(), endpoints.end(),
+            [&](const endpoint_address& kept) { return kept == entry.second.front()->to; });
+    });
+}
+
+void connection_pool::closeExpired(time_point now)
+{
+    for (auto& [endpoint, connections] : m_idle) {
+        std::erase_if(connections, [&](const auto& connection) {
+            return now >= connection->keepUntil || hasUnaskedInput(connection->socket);
+        });
+    }
+    std::erase_if(m_idle, [](const auto& entry) { return entry.second.empty(); });
+}
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/sessions/endpoint_session.cpp
+++ b/src/kumquatbeam/sessions/endpoint_session.cpp
@@ -1,11 +1,11 @@
 #include "kumquatbeam/sessions/endpoint_session.hpp"
 
-#include "kumquatbeam/codec/http_names.hpp"
 #include "kumquatbeam/sessions/connect.hpp"
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <limits>
 #include <utility>
@@ -21,12 +21,19 @@
     /// Statuses below this one announce that an answer is still to come.
     constexpr unsigned lowestFinalStatus = 200;
 
+    /// Statuses from this one on report that the call did not succeed.
+    constexpr unsigned lowestFailureStatus = 300;
+
 } // namespace
 
 endpoint_session::endpoint_session(asio::io_context& context, endpoint_host& host, start_attempt attempt)
     : m_host(host)
+    , m_context(context)
     , m_attempt(std::move(attempt))
-    , m_stream(context)
+    , m_streamId(host.streamIdOf(m_attempt.id))
+    , m_path(m_attempt.path)
+    , m_limit(context)
+    , m_events(m_attempt.resumeAfter)
     , m_relayed(m_attempt.resumeAt)
     , m_startedAt(clock::now())
 {
@@ -34,21 +41,19 @@
 
 void endpoint_session::start()
 {
-    const auto remote = openTowards(m_stream.socket(), m_host.sourceAddress(), m_attempt.to.address, m_attempt.to.port);
-    if (!remote) {
-        finishBroken(failure_kind::EndpointUnreachable);
-        return;
+    m_request = m_host.dialect().encode(m_attempt, m_streamId);
+    m_connection = m_host.takeConnection(m_attempt);
+    if (m_connection) {
+        limitUntil(m_attempt.deadline);
+        send();
+    } else {
+        connect();
     }
-    m_request
-        = encodeAttempt(*m_attempt.call, m_attempt.to.address, m_host.streamIdOf(m_attempt.id), m_attempt.resumeAt);
-    m_stream.expires_at(m_attempt.deadline);
-    m_stream.async_connect(
-        *remote, [self = shared_from_this()](beast::error_code failed) { self->onConnected(failed); });
 }
 
 void endpoint_session::cancel()
 {
-    finish(m_hasSent ? attempt_outcome::Broken : attempt_outcome::NotSent, failure { failure_kind::CallerGone });
+    finishBroken(failure_kind::CallerGone);
 }
 
 void endpoint_session::pieceConsumed()
@@ -58,12 +63,18 @@
     readOn();
 }
 
-void endpoint_session::readOn()
+void endpoint_session::connect()
 {
-    if (m_parser->is_done())
-        finishWhole();
-    else
-        readPiece();
+    m_connection = std::make_shared<endpoint_connection>(m_context, m_attempt.to);
+    const auto remote
+        = openTowards(m_connection->socket, m_host.sourceAddress(), m_attempt.to.address, m_attempt.to.port);
+    if (!remote) {
+        finishBroken(failure_kind::EndpointUnreachable);
+        return;
+    }
+    limitUntil(std::min(m_attempt.deadline, m_startedAt + connectLimit));
+    m_connection->socket.async_connect(
+        *remote, [self = shared_from_this()](beast::error_code failed) { self->onConnected(failed); });
 }
 
 void endpoint_session::onConnected(beast::error_code error)
@@ -75,32 +86,41 @@
         return;
     }
     // An endpoint that speaks before it was asked answers something else: an earlier connection's call, or nothing.
-    if (m_stream.socket().available(error) > 0) {
+    if (hasUnaskedInput(m_connection->socket)) {
         finishBroken(failure_kind::EndpointBroke);
         return;
     }
-    // The process may have been paused since the decision; a lease that has ended meanwhile forbids the send.
-    if (clock::now() >= m_attempt.sendBefore) {
+    watchForSilence(m_connection->socket, unacknowledgedLimit);
+    limitUntil(m_attempt.deadline);
+    send();
+}
+
+void endpoint_session::send()
+{
+    // The process may have been paused since the decision; what allowed the send may have ended meanwhile.
+    const auto now = clock::now();
+    if (now >= m_attempt.sendBefore || now >= m_attempt.deadline) {
         finishBroken(failure_kind::DeadlinePassed);
         return;
     }
-    const auto remaining = std::chrono::floor<std::chrono::milliseconds>(m_attempt.deadline - clock::now());
-    m_request.set(remainingField, std::to_string(remaining.count()));
+    m_host.dialect().stateTimeLeft(m_request, std::chrono::floor<std::chrono::milliseconds>(m_attempt.deadline - now));
     m_hasSent = true;
-    m_stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
-    http::async_write(m_stream, m_request,
-        [self = shared_from_this()](beast::error_code failed, std::size_t) { self->onSent(failed); });
+    // An endpoint may answer before it has read the whole request, so the answer is read meanwhile. A failed write
+    // shows in what is read.
+    http::async_write(m_connection->socket, m_request,
+        [self = shared_from_this()](beast::error_code error, std::size_t) { self->m_isRequestOut = !error; });
+    readHead();
 }
 
-void endpoint_session::onSent(beast::error_code error)
+void endpoint_session::limitUntil(time_point limit)
 {
-    if (m_isFinished)
-        return;
-    if (error) {
-        finishBroken(failureAfter(error));
-        return;
-    }
-    readHead();
+    m_limit.expires_at(limit);
+    m_limit.async_wait([self = shared_from_this()](beast::error_code error) {
+        if (error || self->m_isFinished)
+            return;
+        self->m_isTimedOut = true;
+        self->finishBroken(self->failureAfter({}));
+    });
 }
 
 void endpoint_session::readHead()
@@ -108,7 +128,7 @@
     m_parser.emplace();
     // An answer is bounded piece by piece, not as a whole. Boost 1.74 takes an unset limit for zero.
     m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-    http::async_read_header(m_stream, m_buffer, *m_parser,
+    http::async_read_header(m_connection->socket, m_connection->buffer, *m_parser,
         [self = shared_from_this()](beast::error_code failed, std::size_t) { self->onHead(failed); });
 }
 
@@ -121,53 +141,85 @@
         return;
     }
     const auto& head = m_parser->get();
-    if (head.result_int() < firstFinalStatus) {
+    if (head.result_int() < lowestFinalStatus) {
         // An interim answer says nothing about the call; the final one follows.
-        readHead();
+        if (++m_otherAnswers > otherAnswerLimit)
+            finishBroken(failure_kind::EndpointBroke);
+        else
+            readHead();
         return;
     }
-    if (head.result() == http::status::service_unavailable && head.count(notRunField) > 0) {
-        finish(attempt_outcome::Refused, failure { failure_kind::EndpointRefused, m_attempt.to.endpoint.value });
-        return;
+    takeHead();
+}
+
+void endpoint_session::takeHead()
+{
+    const auto& head = m_parser->get();
+    const auto verdict = m_host.dialect().judge(head, m_parser->need_eof(), m_attempt, m_streamId);
+    switch (verdict.meaning) {
+    case answer_meaning::Answer:
+        if (m_path == answer_path::Events && head.result_int() >= lowestFailureStatus)
+            m_path = answer_path::Kept;
+        readOn();
+        break;
+    case answer_meaning::NotRun:
+        skipRefusal(verdict.problem);
+        break;
+    case answer_meaning::Foreign:
+        skipForeign();
+        break;
+    case answer_meaning::Broken:
+        finishBroken(verdict.problem);
+        break;
     }
-    if (head.result_int() < lowestFinalStatus && ++m_interimAnswers <= interimLimit) {
-        readHead();
+}
+
+void endpoint_session::skipForeign()
+{
+    if (m_parser->need_eof() || ++m_otherAnswers > otherAnswerLimit) {
+        finishBroken(failure_kind::EndpointMisanswered);
         return;
     }
-    if (const auto fault = faultOfHead()) {
-        finishBroken(*fault);
+    m_isSkipping = true;
+    readOn();
+}
+
+void endpoint_session::skipRefusal(failure_kind kind)
+{
+    m_refusal = kind;
+    // The rest of the answer is read only so that the connection can be kept.
+    if (m_parser->need_eof()) {
+        finishBroken(kind);
         return;
     }
+    m_isSkipping = true;
     readOn();
 }
 
-std::optional<failure_kind> endpoint_session::faultOfHead() const
+void endpoint_session::readOn()
 {
-    const auto& head = m_parser->get();
-    // Where only the end of the connection ends the answer, a short answer cannot be told from a whole one.
-    if (head.result_int() < lowestFinalStatus || m_parser->need_eof())
-        return failure_kind::EndpointBroke;
-    // An endpoint that names the stream must name this one; anything else is an answer to another call.
-    const auto stream = head.find(streamField);
-    if (stream != head.end() && stream->value() != m_host.streamIdOf(m_attempt.id))
-        return failure_kind::EndpointBroke;
-    if (m_attempt.resumeAt.value == 0)
-        return std::nullopt;
-    // An endpoint that does not confirm the offset may have started from the beginning.
-    const bool isConfirmed
-        = head.result() == http::status::ok && head[resumedField] == std::to_string(m_attempt.resumeAt.value);
-    return isConfirmed ? std::nullopt : std::optional(failure_kind::EndpointBroke);
+    if (!m_parser->is_done()) {
+        readPiece();
+        return;
+    }
+    const bool wasSkipping = std::exchange(m_isSkipping, false);
+    if (m_refusal)
+        finishBroken(*m_refusal);
+    else if (wasSkipping)
+        readHead();
+    else
+        finishWhole();
 }
 
 void endpoint_session::relayHead()
 {
     // The head waits for the first bytes of the body, so that an attempt that breaks before them leaves no trace.
-    if (m_attempt.resumeAt.value > 0 || std::exchange(m_hasHeadGone, true))
+    if (m_attempt.resumeAt.value > 0 || m_attempt.resumeAfter || std::exchange(m_hasHeadGone, true))
         return;
     const auto& head = m_parser->get();
     const auto type = head[http::field::content_type];
-    m_host.relay(
-        answer_head { m_attempt.id, { static_cast<int>(head.result_int()) }, std::string(type.data(), type.size()) });
+    m_host.relay(answer_head { m_attempt.id, { static_cast<int>(head.result_int()) },
+        std::string(type.data(), type.size()), m_host.dialect().passedOn(head) });
 }
 
 void endpoint_session::readPiece()
@@ -175,11 +227,11 @@
     auto& body = m_parser->get().body();
     body.data = m_piece.data();
     body.size = m_piece.size();
-    http::async_read_some(m_stream, m_buffer, *m_parser,
-        [self = shared_from_this()](beast::error_code error, std::size_t read) { self->onPiece(error, read); });
+    http::async_read_some(m_connection->socket, m_connection->buffer, *m_parser,
+        [self = shared_from_this()](beast::error_code error, std::size_t) { self->onPiece(error); });
 }
 
-void endpoint_session::onPiece(beast::error_code error, std::size_t)
+void endpoint_session::onPiece(beast::error_code error)
 {
     if (m_isFinished)
         return;
@@ -188,27 +240,58 @@
         return;
     }
     const auto received = m_piece.size() - m_parser->get().body().size;
-    if (m_attempt.isBuffered) {
-        m_kept.append(m_piece.data(), received);
+    if (received == 0 || m_isSkipping)
+        readOn();
+    else
+        takePiece({ m_piece.data(), received });
+}
+
+void endpoint_session::takePiece(std::string_view bytes)
+{
+    switch (m_path) {
+    case answer_path::Kept:
+        m_kept.append(bytes);
         if (m_kept.size() > m_host.bodyLimit())
             finishBroken(failure_kind::AnswerTooLarge);
         else
             readOn();
-        return;
+        break;
+    case answer_path::Pieces:
+        relayPiece(std::string(bytes));
+        break;
+    case answer_path::Events:
+        takeEvents(bytes);
+        break;
     }
-    if (received == 0) {
+}
+
+void endpoint_session::takeEvents(std::string_view bytes)
+{
+    m_events.append(bytes);
+    auto whole = m_events.takeWhole();
+    if (m_events.partialSize() > eventLimit)
+        finishBroken(failure_kind::AnswerTooLarge);
+    else if (whole.empty())
         readOn();
-        return;
-    }
+    else
+        relayPiece(std::move(whole));
+}
+
+void endpoint_session::relayPiece(std::string bytes)
+{
     relayHead();
     m_isPieceOut = true;
-    m_relayed += byte_count { received };
-    m_host.relay(answer_piece { m_attempt.id, std::string(m_piece.data(), received) });
+    m_relayed += byte_count { bytes.size() };
+    m_host.relay(answer_piece { m_attempt.id, std::move(bytes) });
 }
 
 void endpoint_session::finishWhole()
 {
-    if (!m_attempt.isBuffered) {
+    if (m_path == answer_path::Events && m_events.hasPartial()) {
+        finishBroken(failure_kind::EndpointBroke);
+        return;
+    }
+    if (isRelayed()) {
         relayHead();
         m_host.relay(answer_end { m_attempt.id });
     }
@@ -217,36 +300,63 @@
 
 void endpoint_session::finishBroken(failure_kind kind)
 {
-    finish(
-        m_hasSent ? attempt_outcome::Broken : attempt_outcome::NotSent, failure { kind, m_attempt.to.endpoint.value });
+    // A refusal stands, however the rest of it ends.
+    const auto outcome = m_refusal ? attempt_outcome::Refused
+        : m_hasSent                ? attempt_outcome::Broken
+                                   : attempt_outcome::NotSent;
+    finish(outcome, failure { m_refusal.value_or(kind), m_attempt.to.endpoint.value });
 }
 
 void endpoint_session::finish(attempt_outcome outcome, std::optional<failure> problem)
 {
     if (std::exchange(m_isFinished, true))
         return;
+    m_limit.cancel();
     attempt_ended ended { .id = m_attempt.id,
         .endpoint = m_attempt.to.endpoint,
         .outcome = outcome,
         .problem = std::move(problem),
-        .relayed = m_relayed };
+        .relayed = m_relayed,
+        .lastEvent = m_events.last(),
+        .isRelayed = isRelayed() };
     ended.cost = { std::chrono::duration_cast<std::chrono::microseconds>(clock::now() - m_startedAt).count() };
-    if (m_parser) {
+    if (m_parser && m_parser->is_header_done()) {
         const auto& head = m_parser->get();
         const auto type = head[http::field::content_type];
         ended.status = { static_cast<int>(head.result_int()) };
         ended.contentType = std::string(type.data(), type.size());
+        ended.load = m_host.dialect().loadOf(head, m_attempt.to.endpoint);
+        if (!isRelayed())
+            ended.fields = m_host.dialect().passedOn(head);
     }
     ended.body = std::move(m_kept);
-    m_stream.close();
+    releaseConnection(outcome == attempt_outcome::Completed || outcome == attempt_outcome::Refused);
     m_host.finish(std::move(ended));
 }
 
+void endpoint_session::releaseConnection(bool isWhole)
+{
+    if (!m_connection)
+        return;
+    const auto connection = std::exchange(m_connection, nullptr);
+    const bool isClean = isWhole && m_isRequestOut && m_parser->is_done() && m_parser->keep_alive()
+        && m_otherAnswers == 0 && connection->buffer.size() == 0;
+    const auto terms = isClean ? m_host.dialect().termsOf(m_parser->get()) : connection_terms {};
+    if (terms.mayKeep) {
+        m_host.keepConnection(connection, terms);
+        return;
+    }
+    beast::error_code ignored;
+    connection->socket.close(ignored);
+}
+
 failure_kind endpoint_session::failureAfter(beast::error_code error) const
 {
-    if (error == beast::error::timeout)
+    if (!m_hasSent)
+        return failure_kind::EndpointUnreachable;
+    if (m_isTimedOut || error == asio::error::timed_out)
         return failure_kind::EndpointTimedOut;
-    return m_hasSent ? failure_kind::EndpointBroke : failure_kind::EndpointUnreachable;
+    return failure_kind::EndpointBroke;
 }
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/sessions/endpoint_session.hpp
+++ b/src/kumquatbeam/sessions/endpoint_session.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "kumquatbeam/codec/http_call.hpp"
+#include "kumquatbeam/codec/endpoint_dialect.hpp"
+#include "kumquatbeam/codec/event_framer.hpp"
 #include "kumquatbeam/controllers/command.hpp"
 #include "kumquatbeam/controllers/decision_event.hpp"
+#include "kumquatbeam/runtime/deadline_timer.hpp"
+#include "kumquatbeam/sessions/endpoint_connection.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
@@ -22,14 +22,21 @@
 public:
     virtual ~endpoint_host() = default;
 
+    virtual const endpoint_dialect& dialect() const = 0;
     virtual void relay(caller_command) = 0;
     virtual void finish(attempt_ended) = 0;
     virtual std::string streamIdOf(request_id) const = 0;
     virtual std::uint64_t bodyLimit() const = 0;
     virtual const std::string& sourceAddress() const = 0;
+
+    /// A kept connection to the endpoint that serves the attempt, or null.
+    virtual std::shared_ptr<endpoint_connection> takeConnection(const start_attempt&) = 0;
+
+    /// Keeps a connection whose answer has ended.
+    virtual void keepConnection(std::shared_ptr<endpoint_connection>, const connection_terms&) = 0;
 };
 
-/// One attempt at one call: connects, sends, and hands the answer on piece by piece or keeps it whole.
+/// One attempt at one call: takes or makes a connection, sends, and hands the answer on or keeps it whole.
 class endpoint_session : public std::enable_shared_from_this<endpoint_session> {
 public:
     endpoint_session(boost::asio::io_context&, endpoint_host&, start_attempt);
@@ -43,41 +50,72 @@
     void pieceConsumed();
 
 private:
-    static constexpr std::size_t pieceSize = 16 * 1024;
-    static constexpr unsigned firstFinalStatus = 200;
+    static constexpr std::size_t pieceSize = 8 * 1024;
+
+    /// Longest time for a connection to be made. A few round trips and a retransmission on the networks of one region.
+    static constexpr std::chrono::milliseconds connectLimit { 500 };
+
+    /// Longest time for which sent bytes may stay unacknowledged: half a dozen retransmissions on such networks.
+    static constexpr std::chrono::milliseconds unacknowledgedLimit { 2000 };
+
+    /// Interim answers (1xx), and answers to other calls, that an endpoint may send before its answer.
+    static constexpr int otherAnswerLimit = 8;
+
+    /// Largest event of a stream.
+    static constexpr std::size_t eventLimit = 1024 * 1024;
 
-    /// Interim answers (1xx) that an endpoint may send before its answer.
-    static constexpr int interimLimit = 8;
+    using answer_parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+    void connect();
     void onConnected(boost::beast::error_code);
-    void onSent(boost::beast::error_code);
+    void send();
+    void limitUntil(time_point);
     void readHead();
     void onHead(boost::beast::error_code);
-    std::optional<failure_kind> faultOfHead() const;
+    void takeHead();
+    void skipForeign();
+    void skipRefusal(failure_kind);
     void relayHead();
     void readOn();
     void readPiece();
-    void onPiece(boost::beast::error_code, std::size_t);
+    void onPiece(boost::beast::error_code);
+    void takePiece(std::string_view bytes);
+    void takeEvents(std::string_view bytes);
+    void relayPiece(std::string bytes);
     void finishWhole();
     void finishBroken(failure_kind);
     void finish(attempt_outcome, std::optional<failure>);
+    void releaseConnection(bool isWhole);
     failure_kind failureAfter(boost::beast::error_code) const;
+    bool isRelayed() const { return m_path != answer_path::Kept; }
 
     endpoint_host& m_host;
+    boost::asio::io_context& m_context;
     start_attempt m_attempt;
-    boost::beast::tcp_stream m_stream;
-    boost::beast::flat_buffer m_buffer;
+    std::string m_streamId;
+    /// How the answer goes on; an answer that reports a failure is kept, so that another endpoint may be tried.
+    answer_path m_path;
+    std::shared_ptr<endpoint_connection> m_connection;
+    deadline_timer m_limit;
     http_request m_request;
-    std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
+    std::optional<answer_parser> m_parser;
+    event_framer m_events;
     std::array<char, pieceSize> m_piece;
     std::string m_kept;
     byte_count m_relayed;
     time_point m_startedAt;
-    int m_interimAnswers = 0;
+    int m_otherAnswers = 0;
     bool m_hasSent = false;
+    /// Whether the whole request has been written.
+    bool m_isRequestOut = false;
+    /// Whether the body that is being read belongs to another call, or to a refusal.
+    bool m_isSkipping = false;
+    /// Set once the endpoint has said that it does not run the call.
+    std::optional<failure_kind> m_refusal;
     bool m_hasHeadGone = false;
     /// Whether a relayed piece has not been acknowledged yet.
     bool m_isPieceOut = false;
+    bool m_isTimedOut = false;
     bool m_isFinished = false;
 };
 
--- a/src/kumquatbeam/sessions/load_probe.hpp
+++ b/src/kumquatbeam/sessions/load_probe.hpp
@@ -3,7 +3,7 @@
 #include "kumquatbeam/controllers/command.hpp"
 #include "kumquatbeam/controllers/decision_event.hpp"
 
-#include <boost/asio/steady_timer.hpp>
+#include "kumquatbeam/runtime/deadline_timer.hpp"
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -43,7 +43,7 @@
     std::string m_sourceAddress;
     endpoint_address m_endpoint;
     observer m_observer;
-    boost::asio::steady_timer m_timer;
+    deadline_timer m_timer;
     std::optional<boost::beast::tcp_stream> m_stream;
     boost::beast::flat_buffer m_buffer;
     boost::beast::http::request<boost::beast::http::empty_body> m_request;
--- a/src/kumquatbeam/sessions/peer_session.hpp
+++ b/src/kumquatbeam/sessions/peer_session.hpp
@@ -3,8 +3,8 @@
 #include "kumquatbeam/types/ids.hpp"
 #include "kumquatbeam/types/peer_message.hpp"
 
+#include "kumquatbeam/runtime/deadline_timer.hpp"
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/system/error_code.hpp>
 
 #include <array>
@@ -71,7 +71,7 @@
 
     peer_host& m_host;
     boost::asio::ip::tcp::socket m_socket;
-    boost::asio::steady_timer m_silence;
+    deadline_timer m_silence;
     std::array<char, 4> m_length {};
     std::string m_body;
     std::deque<std::string> m_outgoing;
--- a/src/kumquatbeam/settings/router_settings.hpp
+++ b/src/kumquatbeam/settings/router_settings.hpp
@@ -31,6 +31,8 @@
     std::string sourceAddress;
     std::string callerAddress = "127.0.0.1";
     std::int64_t callerPort = 0;
+    /// Where the balancer asks whether the router is ready, if not at the callers' port; zero for none.
+    std::int64_t readinessPort = 0;
     std::string peerAddress = "127.0.0.1";
     std::int64_t peerPort = 0;
     std::string operatorAddress = "127.0.0.1";
--- a/src/kumquatbeam/types/call.hpp
+++ b/src/kumquatbeam/types/call.hpp
@@ -1,13 +1,16 @@
 #pragma once
 
 #include "kumquatbeam/types/failure.hpp"
+#include "kumquatbeam/types/header_field.hpp"
 #include "kumquatbeam/types/ids.hpp"
 #include "kumquatbeam/types/order_ticket.hpp"
+#include "kumquatbeam/types/prompt.hpp"
 #include "kumquatbeam/types/time.hpp"
 #include "kumquatbeam/types/units.hpp"
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace kumquatbeam {
 
@@ -44,6 +47,14 @@
     bool isTicketRequest = false;
     /// Text by which calls that share a prompt prefix are recognised; empty where there is none.
     std::string affinity;
+
+    /// @{ Calls that a route table assigns to pools: method, authority and fields go to the endpoint as they came.
+    request_label label;
+    std::string method;
+    std::string authority;
+    header_fields fields;
+    prompt_shape prompt;
+    /// @}
 };
 
 /// What a caller may conclude from a reply.
@@ -56,6 +67,9 @@
     Unknown,
 };
 
+/// Text of a reply's kind, on the wire and in logs.
+std::string_view nameOf(reply_kind);
+
 /// Status code of an endpoint's answer.
 using endpoint_status = strong_value<struct endpoint_status_tag, int>;
 
@@ -66,6 +80,8 @@
     std::optional<failure> problem;
     endpoint_status status { 200 };
     std::string contentType;
+    /// Fields of the endpoint's answer that are passed on.
+    header_fields fields {};
     std::string body;
     std::optional<order_ticket> ticket;
     /// When it makes sense to come back, for refusals under load.
--- a/src/kumquatbeam/types/ids.hpp
+++ b/src/kumquatbeam/types/ids.hpp
@@ -34,6 +34,15 @@
 /// A request inside one router incarnation.
 using request_id = strong_value<struct request_tag, std::uint64_t>;
 
+/// The id that a caller gave its request. Callers draw a new one for each request that they send.
+using request_label = strong_value<struct request_label_tag, std::string>;
+
+/// Name of a route of the route table.
+using route_id = strong_value<struct route_tag, std::string>;
+
+/// Number of an event in an event stream; it only grows within a stream.
+using event_number = strong_value<struct event_number_tag, std::uint64_t>;
+
 /// A short name of an account, pool or endpoint on the wire between daemons: a hash of its name.
 using wire_key = strong_value<struct wire_key_tag, std::uint32_t>;
 
--- a/src/kumquatbeam/types/peer_message.hpp
+++ b/src/kumquatbeam/types/peer_message.hpp
@@ -101,8 +101,44 @@
     std::vector<endpoint_row> endpoints;
 };
 
+/// A router that the sender of a beat knows.
+struct known_router {
+    entry_vm_id id;
+    std::string address;
+};
+
+/// Says that a router lives, whom it knows, and what it has running. Sent a few times a second as a datagram; each beat
+/// stands for itself, so a lost one does no harm.
+struct fleet_beat {
+    struct endpoint_row {
+        wire_key endpoint;
+        std::uint32_t running = 0;
+        /// Prompt tokens that were sent there and have not been answered yet.
+        token_count toRead;
+    };
+
+    struct account_row {
+        wire_key account;
+        /// Tokens that the account asked for at this router lately, by the second.
+        token_count askedPerSecond;
+    };
+
+    entry_vm_id from;
+    incarnation life;
+    failure_domain_id domain;
+    /// IP number at which the sender takes beats.
+    std::string address;
+    /// Grows with each beat of one incarnation, so that an overtaken beat is known as old.
+    std::uint64_t sequence = 0;
+    revision routes;
+    bool isLeaving = false;
+    std::vector<known_router> known;
+    std::vector<endpoint_row> endpoints;
+    std::vector<account_row> accounts;
+};
+
 /// Everything that one daemon says to another.
 using peer_message = std::variant<peer_greeting, peer_heartbeat, document_request, document_offer, order_forward,
-    order_outcome, slot_report, slot_grant>;
+    order_outcome, slot_report, slot_grant, fleet_beat>;
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/filters/request_context.hpp
+++ b/src/kumquatbeam/types/request_context.hpp
@@ -30,6 +30,17 @@
     request_id id;
 };
 
+struct call_route;
+struct route_table;
+
+/// The route that a request matched.
+struct matched_route {
+    /// The table that holds the route, kept for as long as the request is in progress.
+    std::shared_ptr<const route_table> table;
+    const call_route* route = nullptr;
+    pool_id pool;
+};
+
 /// A request on its way through the filter chain; each filter fills what it decides.
 struct request_context {
     request_id id;
@@ -44,6 +55,10 @@
     /// Whether the call may be sent to an endpoint more than once.
     bool isRepeatable = true;
     request_route route = request_route::Queue;
+    /// Set where a route table assigns requests to pools.
+    std::optional<matched_route> matched {};
+    /// After this time the call must not be sent to an endpoint any more, whatever its deadline.
+    time_point sendBefore = never;
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/types/time.hpp
+++ b/src/kumquatbeam/types/time.hpp
@@ -4,8 +4,18 @@
 
 namespace kumquatbeam {
 
-/// The clock of every deadline. Monotonic; it goes on while a process is stopped, so an old belief is seen to be old.
-using clock = std::chrono::steady_clock;
+/// The clock of every deadline. Monotonic, and unlike `std::chrono::steady_clock` it counts the time for which the
+/// machine was suspended, so an old belief is seen to be old. It takes no notice of steps of the time of day.
+struct clock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<clock>;
+
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept;
+};
 
 /// A point in time on `clock`. State stores deadlines as time points, never the durations that led to them.
 using time_point = clock::time_point;
--- a/src/kumquatbeam/types/units.hpp
+++ b/src/kumquatbeam/types/units.hpp
@@ -16,6 +16,9 @@
 /// Places for concurrent calls at an endpoint.
 using slot_count = strong_quantity<struct slot_count_tag, std::int32_t>;
 
+/// Tokens of a language model, read or generated.
+using token_count = strong_quantity<struct token_count_tag, std::int64_t>;
+
 /// A size in bytes.
 using byte_count = strong_quantity<struct byte_count_tag, std::uint64_t>;
 
--- a/tests/unit/attempt_policy.tests.cpp
+++ b/tests/unit/attempt_policy.tests.cpp
@@ -7,7 +7,7 @@
 TEST_CASE("A whole answer is the reply, whatever went before [attempt_policy]")
 {
     CHECK(verdictAfter({ .isComplete = true }) == attempt_verdict::Answer);
-    CHECK(verdictAfter({ .isComplete = true, .mayHaveRunBefore = true, .attempts = attemptLimit })
+    CHECK(verdictAfter({ .isComplete = true, .mayHaveRunBefore = true, .attempts = defaultAttemptLimit })
         == attempt_verdict::Answer);
 }
 
@@ -38,7 +38,7 @@
 
 TEST_CASE("No attempt follows the last one, a caller that left or a deadline that passed [attempt_policy]")
 {
-    CHECK(verdictAfter({ .isProvenNotRun = true, .attempts = attemptLimit }) == attempt_verdict::EndNotRun);
+    CHECK(verdictAfter({ .isProvenNotRun = true, .attempts = defaultAttemptLimit }) == attempt_verdict::EndNotRun);
     CHECK(verdictAfter({ .isProvenNotRun = true, .isWanted = false }) == attempt_verdict::EndNotRun);
     CHECK(verdictAfter({ .isRepeatable = true, .isWanted = false }) == attempt_verdict::EndUnknown);
 }
--- a/tests/unit/core_fixture.hpp
+++ b/tests/unit/core_fixture.hpp
@@ -34,6 +34,7 @@
 public:
     void placed(const placement_record&) override { }
     void refused(const refusal_record&) override { }
+    void ended(const outcome_record&) override { }
     void changed(const change_record&) override { }
     void failed(std::string_view, const failure&) override { }
 };
--- a/tests/unit/recorded_commands.hpp
+++ b/tests/unit/recorded_commands.hpp
@@ -56,6 +56,7 @@
 public:
     void placed(const placement_record&) override { }
     void refused(const refusal_record&) override { }
+    void ended(const outcome_record&) override { }
     void changed(const change_record& record) override { changes.push_back(record); }
     void failed(std::string_view, const failure& what) override { failures.push_back(what); }
 
