--- a/src/kumquatbeam/codec/peer_codec.cpp
+++ b/src/kumquatbeam/codec/peer_codec.cpp
@@ -168,7 +168,8 @@
             endpoints.emplace_back(row.endpoint.value, row.running, row.toRead.value);
         std::vector<frames::beat_account> accounts;
         for (const auto& row : message.accounts)
-            accounts.emplace_back(row.account.value, static_cast<std::uint32_t>(row.askedPerSecond.value));
+            accounts.emplace_back(row.account.value, static_cast<std::uint32_t>(row.askedPerSecond.value),
+                static_cast<std::uint32_t>(row.admittedPerSecond.value));
         const auto from = out.CreateString(message.from.value);
         const auto domain = out.CreateString(message.domain.value);
         const auto address = out.CreateString(message.address);
@@ -292,7 +293,8 @@
         }
         if (body.accounts()) {
             for (const auto* row : *body.accounts())
-                message.accounts.push_back({ { row->account() }, { row->asked_per_second() } });
+                message.accounts.push_back(
+                    { { row->account() }, { row->asked_per_second() }, { row->admitted_per_second() } });
         }
         return message;
     }
--- a/src/kumquatbeam/controllers/decision_event.hpp
+++ b/src/kumquatbeam/controllers/decision_event.hpp
@@ -27,6 +27,12 @@
     request_context context;
 };
 
+/// The chain refused a request.
+struct request_refused {
+    request_context context;
+    failure_kind why = failure_kind::None;
+};
+
 /// An admitted request has had its end; raised by the controller that ended it.
 struct request_ended {
     request_context context;
@@ -182,9 +188,10 @@
 struct directory_changed { };
 
 /// Everything that reaches the decisions duty.
-using decision_event = std::variant<request_arrived, request_admitted, request_ended, request_abandoned, attempt_ended,
-    answer_begun, load_observed, routes_observed, directory_observed, source_lost, source_regained, source_faulty,
-    routes_changed, directory_changed, document_published, members_published, document_accepted, membership_changed,
-    peer_connected, peer_lost, peer_received, status_requested, shutdown_requested, callers_finished, peers_finished>;
+using decision_event = std::variant<request_arrived, request_admitted, request_refused, request_ended,
+    request_abandoned, attempt_ended, answer_begun, load_observed, routes_observed, directory_observed, source_lost,
+    source_regained, source_faulty, routes_changed, directory_changed, document_published, members_published,
+    document_accepted, membership_changed, peer_connected, peer_lost, peer_received, status_requested,
+    shutdown_requested, callers_finished, peers_finished>;
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -16,9 +16,15 @@
     /// Attempts at one call, those included of which no byte went out.
     constexpr int madeLimit = 5;
 
-    /// Part of a call's objective that it may wait before an engine turns to it. The rest is for its own prompt and for
-    /// the steps to the first event.
-    constexpr double waitPart = 0.4;
+    /// @{ Part of a call's objective that it may wait before an engine turns to it: for an account that is owed more
+    /// than it got, and for one that took more than its share. The rest is for the call's own prompt and for the steps
+    /// to the first event. Between the two standings the part falls evenly, so that accounts that are owed something
+    /// find room when those that took more are refused already.
+    constexpr double longestWaitPart = 0.5;
+    constexpr double shortestWaitPart = 0.08;
+    constexpr double owedStanding = 0.8;
+    constexpr double sufficedStanding = 1.1;
+    /// @}
 
     /// Part of the time left that the first attempt at a call gets where another one may follow.
     constexpr double firstAttemptPart = 0.5;
@@ -56,6 +62,7 @@
         [&](const routes_changed&) { refreshPools(); },
         [&](const directory_changed&) { refreshPools(); },
         [&](const request_admitted& admitted) { admit(admitted.context, context); },
+        [&](const request_refused& refused) { recordAsked(refused.context, context.now); },
         [&](const request_abandoned& abandoned) { abandon(abandoned.id, context); },
         [&](const answer_begun& begun) { begin(begun.id, context.now); },
         [&](const attempt_ended& ended) { finishAttempt(ended, context); },
@@ -73,7 +80,7 @@
     }
 }
 
-void dispatch_controller::addLoad(fleet_beat& beat) const
+void dispatch_controller::addLoad(fleet_beat& beat, time_point now) const
 {
     if (m_routes.current())
         beat.routes = m_routes.current()->current;
@@ -82,6 +89,9 @@
             if (row.running > 0)
                 beat.endpoints.push_back({ row.key, static_cast<std::uint32_t>(row.running), row.toRead });
         }
+        for (const auto& [account, rates] : pool.shares.rates(now))
+            beat.accounts.push_back(
+                { account, { static_cast<std::int64_t>(rates.asked) }, { static_cast<std::int64_t>(rates.admitted) } });
     }
 }
 
@@ -116,12 +126,19 @@
         row.isUsable
             = row.isUsable && !tried.contains(row.endpoint) && pool.health.admits(row.endpoint, row.running > 0, now);
     }
-    const auto objective = std::chrono::duration_cast<std::chrono::microseconds>(request.matched->route->objective);
-    const placement_call call { request.call->prompt, m_domain,
-        std::chrono::duration_cast<std::chrono::microseconds>(objective * waitPart) };
+    const placement_call call { request.call->prompt, m_domain, waitLimitOf(request, pool.shares, now) };
     return pool.strategy->place(call, endpoints, now);
 }
 
+std::chrono::microseconds dispatch_controller::waitLimitOf(
+    const request_context& request, const account_shares& shares, time_point now) const
+{
+    const auto standing = request.account.value.empty() ? 0 : shares.standing(request.account, now);
+    const auto excess = std::clamp((standing - owedStanding) / (sufficedStanding - owedStanding), 0.0, 1.0);
+    const auto part = longestWaitPart - excess * (longestWaitPart - shortestWaitPart);
+    return std::chrono::duration_cast<std::chrono::microseconds>(request.matched->route->objective * part);
+}
+
 void dispatch_controller::refreshPools()
 {
     const auto& table = m_routes.current();
@@ -133,7 +150,11 @@
         if (found == m_pools.end()) {
             const shared_retry_budget::terms terms { m_bounds.retryRatio, m_bounds.retryAllowance,
                 m_bounds.retryWindow };
-            found = m_pools.emplace(id, dispatch_pool { makeStrategy(id), {}, {}, shared_retry_budget(terms) }).first;
+            found = m_pools
+                        .emplace(id,
+                            dispatch_pool { makeStrategy(id), {}, {}, shared_retry_budget(terms),
+                                account_shares([this](wire_key account) { return m_fleet.ratesElsewhere(account); }) })
+                        .first;
         }
         refreshPool(found->second, id);
     }
@@ -141,6 +162,7 @@
 
 void dispatch_controller::refreshPool(dispatch_pool& pool, const pool_id& id)
 {
+    pool.shares.setCapacity(static_cast<double>(m_routes.current()->tokensPerSecond));
     const auto old = std::exchange(pool.endpoints, {});
     std::set<endpoint_id> names;
     for (const auto& [name, announced] : m_directory.endpoints()) {
@@ -178,14 +200,25 @@
 
 void dispatch_controller::admit(const request_context& request, decision_context& context)
 {
-    if (auto* pool = poolOf(request))
+    recordAsked(request, context.now);
+    if (auto* pool = poolOf(request)) {
         pool->retries.recordRequest(context.now);
+        if (!request.account.value.empty())
+            pool->shares.recordAdmitted(request.account, request.call->prompt.cost(), context.now);
+    }
     running_call call { .context = request, .arrivedAt = context.now, .endpoint = {}, .toRead = {} };
     auto copy = call;
     if (!start(std::move(call), context))
         end(std::move(copy), notRun({ failure_kind::NoEndpoint }), { .id = request.id }, context);
 }
 
+void dispatch_controller::recordAsked(const request_context& request, time_point now)
+{
+    auto* pool = request.matched ? poolOf(request) : nullptr;
+    if (pool && !request.account.value.empty())
+        pool->shares.recordAsked(request.account, request.call->prompt.cost(), now);
+}
+
 bool dispatch_controller::start(running_call call, decision_context& context)
 {
     auto* pool = poolOf(call.context);
--- a/src/kumquatbeam/controllers/dispatch_controller.hpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.hpp
@@ -4,6 +4,7 @@
 #include "kumquatbeam/controllers/directory_controller.hpp"
 #include "kumquatbeam/controllers/fleet_controller.hpp"
 #include "kumquatbeam/controllers/route_controller.hpp"
+#include "kumquatbeam/decisions/admission/account_shares.hpp"
 #include "kumquatbeam/decisions/attempt_policy.hpp"
 #include "kumquatbeam/decisions/endpoint_health.hpp"
 #include "kumquatbeam/decisions/placement/placement_strategy.hpp"
@@ -30,7 +31,7 @@
     void handle(const decision_event&, decision_context&) override;
     void describe(status_report&) const override;
 
-    void addLoad(fleet_beat&) const override;
+    void addLoad(fleet_beat&, time_point now) const override;
 
     /// Where a request would go now; nothing where no endpoint can take it in time.
     std::optional<placement> choose(const request_context&, time_point now) const;
@@ -66,13 +67,16 @@
         std::vector<endpoint_standing> endpoints;
         endpoint_health health;
         shared_retry_budget retries;
+        account_shares shares;
     };
 
     void refreshPools();
     void refreshPool(dispatch_pool&, const pool_id&);
     std::unique_ptr<placement_strategy> makeStrategy(const pool_id&) const;
     std::optional<placement> choose(const request_context&, const std::set<endpoint_id>& tried, time_point now) const;
+    std::chrono::microseconds waitLimitOf(const request_context&, const account_shares&, time_point now) const;
     void admit(const request_context&, decision_context&);
+    void recordAsked(const request_context&, time_point now);
     bool start(running_call, decision_context&);
     void begin(request_id, time_point now);
     void abandon(request_id, decision_context&);
--- a/src/kumquatbeam/controllers/fleet_controller.cpp
+++ b/src/kumquatbeam/controllers/fleet_controller.cpp
@@ -61,6 +61,12 @@
     return found == m_elsewhere.end() ? load {} : found->second;
 }
 
+account_rates fleet_controller::ratesElsewhere(wire_key account) const
+{
+    const auto found = m_ratesElsewhere.find(account);
+    return found == m_ratesElsewhere.end() ? account_rates {} : found->second;
+}
+
 std::int64_t fleet_controller::routersAtMost() const
 {
     const auto others = std::count_if(m_members.begin(), m_members.end(),
@@ -92,7 +98,8 @@
         .heardAt = context.now,
         .forgetAt = context.now + memoryOfSilent,
         .isLeaving = beat.isLeaving,
-        .load = beat.endpoints };
+        .load = beat.endpoints,
+        .accounts = beat.accounts };
     countLoad(known, 1);
     for (const auto& router : beat.known)
         learn(router, context);
@@ -119,6 +126,11 @@
         if (sum.running == 0 && sum.toRead.value == 0)
             m_elsewhere.erase(row.endpoint);
     }
+    for (const auto& row : known.accounts) {
+        auto& sum = m_ratesElsewhere[row.account];
+        sum.asked += static_cast<double>(sign * row.askedPerSecond.value);
+        sum.admitted += static_cast<double>(sign * row.admittedPerSecond.value);
+    }
 }
 
 void fleet_controller::expire(decision_context& context)
@@ -139,7 +151,7 @@
     m_nextBeat = context.now + beatPeriod;
     if (std::exchange(m_havePeersChanged, false))
         tellPeers(context);
-    const auto beat = makeBeat();
+    const auto beat = makeBeat(context.now);
     const auto send = [&](const entry_vm_id& to) { context.commands.send(peer_command { send_to_peer { to, beat } }); };
     for (const auto& [id, known] : m_members)
         send(id);
@@ -161,7 +173,7 @@
     context.commands.send(peer_command { std::move(peers) });
 }
 
-fleet_beat fleet_controller::makeBeat()
+fleet_beat fleet_controller::makeBeat(time_point now)
 {
     fleet_beat beat { .from = m_settings.self,
         .life = m_life,
@@ -174,7 +186,7 @@
             beat.known.push_back({ id, known.address });
     }
     if (m_source)
-        m_source->addLoad(beat);
+        m_source->addLoad(beat, now);
     return beat;
 }
 
--- a/src/kumquatbeam/controllers/fleet_controller.hpp
+++ b/src/kumquatbeam/controllers/fleet_controller.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kumquatbeam/controllers/controller.hpp"
+#include "kumquatbeam/decisions/admission/account_shares.hpp"
 #include "kumquatbeam/settings/router_settings.hpp"
 
 #include <cstdint>
@@ -17,7 +18,7 @@
     virtual ~load_source() = default;
 
     /// Adds the load of this router to a beat.
-    virtual void addLoad(fleet_beat&) const = 0;
+    virtual void addLoad(fleet_beat&, time_point now) const = 0;
 };
 
 /// Owns what is known about the other routers of the fleet, and tells them about this one.
@@ -56,6 +57,9 @@
     /// What the other routers have running at an endpoint, by their last words.
     load loadElsewhere(wire_key endpoint) const;
 
+    /// What an account asked for and got at the other routers, by their last words.
+    account_rates ratesElsewhere(wire_key account) const;
+
     /// Routers that may be serving, this one among them: also those that are silent and may just be cut off.
     std::int64_t routersAtMost() const;
 
@@ -73,6 +77,7 @@
         bool isLeaving = false;
         bool isLoadCounted = false;
         std::vector<fleet_beat::endpoint_row> load {};
+        std::vector<fleet_beat::account_row> accounts {};
     };
 
     void hear(const fleet_beat&, decision_context&);
@@ -81,7 +86,7 @@
     void expire(decision_context&);
     void sendBeats(decision_context&);
     void tellPeers(decision_context&) const;
-    fleet_beat makeBeat();
+    fleet_beat makeBeat(time_point now);
     bool isKnownAddress(const std::string&) const;
 
     const router_settings& m_settings;
@@ -90,6 +95,7 @@
     const load_source* m_source = nullptr;
     std::map<entry_vm_id, member> m_members;
     std::unordered_map<wire_key, load> m_elsewhere;
+    std::unordered_map<wire_key, account_rates> m_ratesElsewhere;
     std::uint64_t m_sequence = 0;
     time_point m_nextBeat {};
     bool m_isLeaving = false;
--- a/src/kumquatbeam/controllers/routing_core.cpp
+++ b/src/kumquatbeam/controllers/routing_core.cpp
@@ -60,6 +60,7 @@
         return;
     }
     auto& reply = verdict->reply;
+    context.raised.emplace_back(request_refused { request, reply.problem ? reply.problem->kind : failure_kind::None });
     if (reply.problem)
         context.log.refused({ .request = request.id,
             .label = request.call->label,
--- /dev/null
+++ b/src/kumquatbeam/decisions/admission/account_shares.cpp
@@ -0,0 +1,84 @@
+#include "kumquatbeam/decisions/admission/account_shares.hpp"
+
+#include "kumquatbeam/decisions/fair_division.hpp"
+#include "kumquatbeam/types/wire_key.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquatbeam {
+
+namespace {
+
+    /// Tokens a second below which an account counts as idle.
+    constexpr double negligibleRate = 1;
+
+} // namespace
+
+account_shares::account_shares(elsewhere_rates elsewhere)
+    : m_elsewhere(std::move(elsewhere))
+{
+}
+
+void account_shares::recordAsked(const client_account_id& account, token_count tokens, time_point now)
+{
+    rowOf(account).asked.add(static_cast<double>(tokens.value), now);
+    if (now >= m_levelUntil)
+        refreshLevel(now);
+}
+
+void account_shares::recordAdmitted(const client_account_id& account, token_count tokens, time_point now)
+{
+    rowOf(account).admitted.add(static_cast<double>(tokens.value), now);
+}
+
+double account_shares::standing(const client_account_id& account, time_point now) const
+{
+    const auto row = m_accounts.find(account);
+    return m_level > 0 && row != m_accounts.end() ? ratesOf(row->second, now).admitted / m_level : 0;
+}
+
+std::vector<std::pair<wire_key, account_rates>> account_shares::rates(time_point now) const
+{
+    std::vector<std::pair<wire_key, account_rates>> found;
+    for (const auto& [id, row] : m_accounts) {
+        const account_rates own { row.asked.perSecond(now), row.admitted.perSecond(now) };
+        if (own.asked >= negligibleRate)
+            found.emplace_back(row.key, own);
+    }
+    return found;
+}
+
+account_shares::account_row& account_shares::rowOf(const client_account_id& account)
+{
+    const auto found = m_accounts.find(account);
+    return found != m_accounts.end()
+        ? found->second
+        : m_accounts.emplace(account, account_row { wireKeyOf(account), {}, {} }).first->second;
+}
+
+account_rates account_shares::ratesOf(const account_row& row, time_point now) const
+{
+    const auto others = m_elsewhere(row.key);
+    return { row.asked.perSecond(now) + others.asked, row.admitted.perSecond(now) + others.admitted };
+}
+
+void account_shares::refreshLevel(time_point now)
+{
+    m_levelUntil = now + levelLifetime;
+    std::vector<slot_claim> claims;
+    double admitted = 0;
+    for (const auto& [id, row] : m_accounts) {
+        const auto rates = ratesOf(row, now);
+        claims.push_back({ .share = 1, .demand = rates.asked });
+        admitted += rates.admitted;
+    }
+    const auto parts = waterFill(claims, std::max(m_capacity, admitted));
+    m_level = 0;
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        if (parts[i] + negligibleRate < claims[i].demand)
+            m_level = std::max(m_level, parts[i]);
+    }
+}
+
+} // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/decisions/admission/decayed_rate.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "kumquatbeam/types/time.hpp"
+
+#include <chrono>
+#include <cmath>
+
+namespace kumquatbeam {
+
+/// A rate over the recent past: what was added counts less the longer ago it was.
+class decayed_rate {
+public:
+    /// Time in which what was added loses all but a third of its weight. Long enough to smooth single requests, short
+    /// beside the seconds over which shares are owed.
+    static constexpr std::chrono::milliseconds memory { 1000 };
+
+    void add(double amount, time_point now)
+    {
+        m_sum = sumAt(now) + amount;
+        m_at = now;
+    }
+
+    /// Amount a second.
+    double perSecond(time_point now) const { return sumAt(now) / std::chrono::duration<double>(memory).count(); }
+
+private:
+    double sumAt(time_point now) const
+    {
+        if (m_sum == 0 || now <= m_at)
+            return m_sum;
+        return m_sum * std::exp(-std::chrono::duration<double>(now - m_at) / std::chrono::duration<double>(memory));
+    }
+
+    double m_sum = 0;
+    time_point m_at {};
+};
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/types/peer_message.hpp
+++ b/src/kumquatbeam/types/peer_message.hpp
@@ -119,8 +119,10 @@
 
     struct account_row {
         wire_key account;
-        /// Tokens that the account asked for at this router lately, by the second.
+        /// @{ Tokens that the account lately asked for at this router, and those that were let in.
         token_count askedPerSecond;
+        token_count admittedPerSecond;
+        /// @}
     };
 
     entry_vm_id from;
--- a/src/kumquatbeam/types/prompt.hpp
+++ b/src/kumquatbeam/types/prompt.hpp
@@ -30,6 +30,9 @@
 
     bool isEmpty() const { return promptTokens.value == 0; }
 
+    /// What the request costs where a prompt token counts once and a generated one twice.
+    token_count cost() const { return promptTokens + outputLimit + outputLimit; }
+
     /// Tokens that other requests may have in common with this one.
     token_count sharedTokens() const
     {
