Reload settings on SIGHUP, and test the routing core and the adapter

Unit tests for the routing core, placement, admission, the event framer and every decoder and dialect of the adapter, with hostile input: pass.

--- a/src/kumquatbeam/controllers/decision_event.hpp
+++ b/src/kumquatbeam/controllers/decision_event.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kumquatbeam/settings/endpoint_directory.hpp"
+#include "kumquatbeam/settings/route_bounds.hpp"
 #include "kumquatbeam/settings/route_table.hpp"
 #include "kumquatbeam/types/call.hpp"
 #include "kumquatbeam/types/ids.hpp"
@@ -13,6 +14,7 @@
 #include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace kumquatbeam {
 
@@ -181,6 +183,13 @@
     failure what;
 };
 
+/// The settings of the process have been read again: what may change while it runs.
+struct settings_reloaded {
+    route_bounds bounds;
+    /// Addresses of routers that may know the others.
+    std::vector<std::string> seeds;
+};
+
 /// A route table came into force; raised by the controller that owns it.
 struct routes_changed { };
 
@@ -190,8 +199,8 @@
 /// Everything that reaches the decisions duty.
 using decision_event = std::variant<request_arrived, request_admitted, request_refused, request_ended,
     request_abandoned, attempt_ended, answer_begun, load_observed, routes_observed, directory_observed, source_lost,
-    source_regained, source_faulty, routes_changed, directory_changed, document_published, members_published,
-    document_accepted, membership_changed, peer_connected, peer_lost, peer_received, status_requested,
-    shutdown_requested, callers_finished, peers_finished>;
+    source_regained, source_faulty, settings_reloaded, routes_changed, directory_changed, document_published,
+    members_published, document_accepted, membership_changed, peer_connected, peer_lost, peer_received,
+    status_requested, shutdown_requested, callers_finished, peers_finished>;
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -1,5 +1,6 @@
 #include "kumquatbeam/controllers/dispatch_controller.hpp"
 
+#include "kumquatbeam/decisions/admission/wait_terms.hpp"
 #include "kumquatbeam/decisions/placement/least_running.hpp"
 #include "kumquatbeam/decisions/placement/prompt_homes.hpp"
 #include "kumquatbeam/filters/request_filter.hpp"
@@ -16,16 +17,6 @@
     /// Attempts at one call, those included of which no byte went out.
     constexpr int madeLimit = 5;
 
-    /// @{ Part of a call's objective that it may wait before an engine turns to it: for an account that is owed more
-    /// than it got, and for one that took more than its share. The rest is for the call's own prompt and for the steps
-    /// to the first event. Between the two standings the part falls evenly, so that accounts that are owed something
-    /// find room when those that took more are refused already.
-    constexpr double longestWaitPart = 0.5;
-    constexpr double shortestWaitPart = 0.08;
-    constexpr double owedStanding = 0.8;
-    constexpr double sufficedStanding = 1.1;
-    /// @}
-
     /// Part of the time left that the first attempt at a call gets where another one may follow.
     constexpr double firstAttemptPart = 0.5;
 
@@ -134,8 +125,7 @@
     const request_context& request, const account_shares& shares, time_point now) const
 {
     const auto standing = request.account.value.empty() ? 0 : shares.standing(request.account, now);
-    const auto excess = std::clamp((standing - owedStanding) / (sufficedStanding - owedStanding), 0.0, 1.0);
-    const auto part = longestWaitPart - excess * (longestWaitPart - shortestWaitPart);
+    const auto part = waitPartOf(standing);
     return std::chrono::duration_cast<std::chrono::microseconds>(request.matched->route->objective * part);
 }
 
--- a/src/kumquatbeam/controllers/fleet_controller.cpp
+++ b/src/kumquatbeam/controllers/fleet_controller.cpp
@@ -18,9 +18,8 @@
 fleet_controller::fleet_controller(const router_settings& settings, incarnation life, std::vector<std::string> seeds)
     : m_settings(settings)
     , m_life(life)
-    , m_seeds(std::move(seeds))
 {
-    std::erase(m_seeds, settings.peerAddress);
+    takeSeeds(std::move(seeds));
 }
 
 void fleet_controller::handle(const decision_event& event, decision_context& context)
@@ -30,6 +29,7 @@
             if (const auto* beat = std::get_if<fleet_beat>(&received.message))
                 hear(*beat, context);
         },
+        [&](const settings_reloaded& reloaded) { takeSeeds(reloaded.seeds); },
         [&](const shutdown_requested&) {
             m_isLeaving = true;
             sendBeats(context);
@@ -105,6 +105,13 @@
         learn(router, context);
 }
 
+void fleet_controller::takeSeeds(std::vector<std::string> seeds)
+{
+    std::erase(seeds, m_settings.peerAddress);
+    m_seeds = std::move(seeds);
+    m_havePeersChanged = true;
+}
+
 void fleet_controller::learn(const known_router& router, decision_context& context)
 {
     if (router.id == m_settings.self || m_members.contains(router.id))
--- a/src/kumquatbeam/controllers/fleet_controller.hpp
+++ b/src/kumquatbeam/controllers/fleet_controller.hpp
@@ -80,6 +80,7 @@
         std::vector<fleet_beat::account_row> accounts {};
     };
 
+    void takeSeeds(std::vector<std::string>);
     void hear(const fleet_beat&, decision_context&);
     void learn(const known_router&, decision_context&);
     void countLoad(member&, std::int64_t sign);
--- a/src/kumquatbeam/controllers/routing_core.cpp
+++ b/src/kumquatbeam/controllers/routing_core.cpp
@@ -6,6 +6,7 @@
 #include "kumquatbeam/filters/route_filter.hpp"
 #include "kumquatbeam/filters/timeout_filter.hpp"
 
+#include <string>
 #include <utility>
 
 namespace kumquatbeam {
@@ -46,6 +47,10 @@
     const event_handlers handlers {
         [&](const request_arrived& arrived) { filterRequest(arrived, context); },
         [&](const status_requested& query) { reportStatus(query, context); },
+        [&](const settings_reloaded& reloaded) {
+            m_bounds = reloaded.bounds;
+            context.log.changed({ "settings", "reloaded", "seeds=" + std::to_string(reloaded.seeds.size()) });
+        },
     };
     std::visit(handlers, event);
     return true;
--- /dev/null
+++ b/src/kumquatbeam/decisions/admission/wait_terms.cpp
@@ -0,0 +1,44 @@
+#include "kumquatbeam/decisions/admission/wait_terms.hpp"
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+
+namespace kumquatbeam {
+
+namespace {
+
+    /// The part at one standing; between two rows it changes evenly.
+    struct term_row {
+        double standing;
+        double part;
+    };
+
+    /// At the shortest wait an engine is still kept busy from one call to the next.
+    constexpr auto termTable = std::to_array<term_row>({
+        { 0.8, 0.5 },
+        { 1.1, 0.08 },
+        { 1.3, 0.0 },
+    });
+
+    /// Standing from which an account is refused outright.
+    constexpr double refusedStanding = 1.6;
+
+} // namespace
+
+double waitPartOf(double standing)
+{
+    if (standing >= refusedStanding)
+        return -1;
+    const auto above = std::find_if(
+        termTable.begin(), termTable.end(), [standing](const term_row& row) { return standing < row.standing; });
+    if (above == termTable.begin())
+        return above->part;
+    const auto below = std::prev(above);
+    if (above == termTable.end())
+        return below->part;
+    const double way = (standing - below->standing) / (above->standing - below->standing);
+    return below->part + way * (above->part - below->part);
+}
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/duties/operators_duty.cpp
+++ b/src/kumquatbeam/duties/operators_duty.cpp
@@ -16,14 +16,13 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-operators_duty::operators_duty(
-    const router_settings& settings, duty_links& links, std::function<void(ending)> whenEnding)
+operators_duty::operators_duty(const router_settings& settings, duty_links& links, callbacks whatFollows)
     : m_settings(settings)
     , m_links(links)
-    , m_whenEnding(std::move(whenEnding))
+    , m_callbacks(std::move(whatFollows))
     , m_duty("operators", operatorsRing())
     , m_acceptor(m_duty.context())
-    , m_signals(m_duty.context(), SIGTERM, SIGINT)
+    , m_signals(m_duty.context(), SIGTERM, SIGINT, SIGHUP)
 {
 }
 
@@ -99,21 +98,30 @@
 
 void operators_duty::awaitSignal()
 {
-    m_signals.async_wait([this](const boost::system::error_code& error, int) {
+    m_signals.async_wait([this](const boost::system::error_code& error, int number) {
         if (error)
             return;
-        if (std::exchange(m_hasSignal, true))
-            endProcess(ending::Interrupted);
-        else
-            m_links.decisions->post(shutdown_requested {});
+        takeSignal(number);
         awaitSignal();
     });
 }
 
+void operators_duty::takeSignal(int number)
+{
+    if (number == SIGHUP) {
+        if (m_callbacks.whenReloading)
+            m_callbacks.whenReloading();
+    } else if (std::exchange(m_hasSignal, true)) {
+        endProcess(ending::Interrupted);
+    } else {
+        m_links.decisions->post(shutdown_requested {});
+    }
+}
+
 void operators_duty::endProcess(ending how)
 {
     if (!std::exchange(m_hasEnded, true))
-        m_whenEnding(how);
+        m_callbacks.whenEnding(how);
 }
 
 void operators_duty::handle(operator_command command)
--- a/src/kumquatbeam/duties/operators_duty.hpp
+++ b/src/kumquatbeam/duties/operators_duty.hpp
@@ -27,7 +27,14 @@
         Interrupted,
     };
 
-    operators_duty(const router_settings&, duty_links&, std::function<void(ending)> whenEnding);
+    /// What follows from signals, called on the duty's thread.
+    struct callbacks {
+        std::function<void(ending)> whenEnding;
+        /// SIGHUP has come: the settings file may have changed. Without it, the signal does nothing.
+        std::function<void()> whenReloading {};
+    };
+
+    operators_duty(const router_settings&, duty_links&, callbacks);
 
     absl::Status listen();
     void start();
@@ -55,12 +62,13 @@
     void answer(status_reply);
     void accept();
     void awaitSignal();
+    void takeSignal(int number);
     void endProcess(ending);
     void handle(operator_command);
 
     const router_settings& m_settings;
     duty_links& m_links;
-    std::function<void(ending)> m_whenEnding;
+    callbacks m_callbacks;
     duty<operator_command> m_duty;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::signal_set m_signals;
--- a/src/kumquatbeam/duties/router_process.cpp
+++ b/src/kumquatbeam/duties/router_process.cpp
@@ -14,7 +14,7 @@
     , m_callers(settings, m_callerDialect, m_trafficThread, m_links)
     , m_endpoints(settings, life, m_endpointDialect, m_trafficThread, m_links)
     , m_peers(settings, life, m_links)
-    , m_operators(settings, m_links, [this](operators_duty::ending how) { m_ending.set_value(how); })
+    , m_operators(settings, m_links, { .whenEnding = [this](operators_duty::ending how) { m_ending.set_value(how); } })
     , m_platform(settings, m_links)
 {
     m_links = { &m_decisions.inbox(), &m_callers.inbox(), &m_endpoints.inbox(), &m_peers.inbox(), &m_operators.inbox(),
--- /dev/null
+++ b/tests/unit/admission.tests.cpp
@@ -0,0 +1,111 @@
+#include "kumquatbeam/decisions/admission/account_shares.hpp"
+#include "kumquatbeam/decisions/admission/wait_terms.hpp"
+#include "kumquatbeam/decisions/shared_retry_budget.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace kumquatbeam;
+
+namespace {
+
+constexpr time_point start { std::chrono::hours(1) };
+
+account_shares ownShares()
+{
+    return account_shares([](wire_key) { return account_rates {}; });
+}
+
+} // namespace
+
+TEST_CASE("nobody is over its share while the pool gives what is asked" * doctest::test_suite("[admission]"))
+{
+    auto shares = ownShares();
+    shares.setCapacity(10'000);
+    shares.recordAsked({ "a" }, { 4000 }, start);
+    shares.recordAdmitted({ "a" }, { 4000 }, start);
+    shares.recordAsked({ "b" }, { 100 }, start);
+    CHECK(shares.standing({ "a" }, start) == 0);
+}
+
+TEST_CASE("under a flood, the account that got most stands above its share" * doctest::test_suite("[admission]"))
+{
+    auto shares = ownShares();
+    shares.setCapacity(10'000);
+    auto now = start;
+    for (int step = 0; step < 100; ++step, now += std::chrono::milliseconds(50)) {
+        shares.recordAsked({ "flood" }, { 5000 }, now);
+        shares.recordAdmitted({ "flood" }, { 450 }, now);
+        shares.recordAsked({ "other" }, { 1000 }, now);
+        shares.recordAdmitted({ "other" }, { 50 }, now);
+    }
+    CHECK(shares.standing({ "flood" }, now) > 1.5);
+    CHECK(shares.standing({ "other" }, now) < 0.5);
+    CHECK(shares.standing({ "stranger" }, now) == 0);
+}
+
+TEST_CASE("what other routers say counts like what is seen here" * doctest::test_suite("[admission]"))
+{
+    account_shares shares([](wire_key) { return account_rates { 50'000, 9'000 }; });
+    shares.setCapacity(10'000);
+    shares.recordAsked({ "flood" }, { 1000 }, start);
+    CHECK(shares.standing({ "flood" }, start) > 0.8);
+}
+
+TEST_CASE("a rate fades with the time since" * doctest::test_suite("[admission]"))
+{
+    decayed_rate rate;
+    rate.add(1000, start);
+    CHECK(rate.perSecond(start) == doctest::Approx(1000));
+    CHECK(rate.perSecond(start + decayed_rate::memory) == doctest::Approx(368).epsilon(0.01));
+    CHECK(rate.perSecond(start + 10 * decayed_rate::memory) < 1);
+}
+
+TEST_CASE("the wait that is worth starting for falls with the account's standing" * doctest::test_suite("[admission]"))
+{
+    CHECK(waitPartOf(0) == doctest::Approx(0.5));
+    CHECK(waitPartOf(0.8) == doctest::Approx(0.5));
+    double last = 1;
+    for (double standing = 0; standing < 1.6; standing += 0.01) {
+        CHECK(waitPartOf(standing) <= last);
+        CHECK(waitPartOf(standing) >= 0);
+        last = waitPartOf(standing);
+    }
+    CHECK(waitPartOf(1.6) < 0);
+}
+
+TEST_CASE("repeats of the whole fleet stay within the budget in every window" * doctest::test_suite("[admission]"))
+{
+    constexpr std::int64_t routers = 4;
+    const shared_retry_budget::terms terms { 0.2, 40, std::chrono::seconds(10) };
+    std::vector<shared_retry_budget> budgets(routers, shared_retry_budget(terms));
+    std::vector<std::pair<time_point, bool>> events;
+    auto now = start;
+    for (int step = 0; step < 4000; ++step, now += std::chrono::milliseconds(10)) {
+        auto& budget = budgets[static_cast<std::size_t>(step % routers)];
+        budget.recordRequest(now);
+        events.emplace_back(now, false);
+        while (budget.tryWithdraw(routers, now))
+            events.emplace_back(now, true);
+    }
+    for (auto from = start; from < now; from += std::chrono::milliseconds(130)) {
+        std::int64_t requests = 0;
+        std::int64_t repeats = 0;
+        for (const auto& [at, isRepeat] : events) {
+            if (at < from || at >= from + terms.window)
+                continue;
+            ++(isRepeat ? repeats : requests);
+        }
+        const auto bound = terms.ratio * static_cast<double>(std::max<std::int64_t>(requests, 1000))
+            + static_cast<double>(terms.allowance);
+        CHECK(static_cast<double>(repeats) <= bound);
+    }
+}
+
+TEST_CASE("a router that sees fewer others spends no more than its part" * doctest::test_suite("[admission]"))
+{
+    shared_retry_budget budget({ 0.0, 40, std::chrono::seconds(10) });
+    int spent = 0;
+    while (budget.tryWithdraw(4, start))
+        ++spent;
+    CHECK(spent == 10);
+}
--- /dev/null
+++ b/tests/unit/event_framer.tests.cpp
@@ -0,0 +1,59 @@
+#include "kumquatbeam/codec/event_framer.hpp"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace kumquatbeam;
+
+TEST_CASE("an event is handed on once its blank line has come" * doctest::test_suite("[events]"))
+{
+    event_framer framer(std::nullopt);
+    framer.append("id: 1\ndata: a\n");
+    CHECK(framer.takeWhole().empty());
+    CHECK(framer.hasPartial());
+    framer.append("\nid: 2\nda");
+    CHECK(framer.takeWhole() == "id: 1\ndata: a\n\n");
+    CHECK(framer.last() == event_number { 1 });
+    CHECK(framer.partialSize() == 8);
+}
+
+TEST_CASE("events that the caller has are left out after a resume" * doctest::test_suite("[events]"))
+{
+    event_framer framer(event_number { 2 });
+    framer.append("id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    CHECK(framer.takeWhole() == "id: 3\ndata: c\n\n");
+    CHECK(framer.last() == event_number { 3 });
+    CHECK_FALSE(framer.hasPartial());
+}
+
+TEST_CASE("events without a number, and lines that end with a carriage return, pass" * doctest::test_suite("[events]"))
+{
+    event_framer framer(event_number { 7 });
+    framer.append("data: x\r\n\r\nweight-versions: 3\nid:8\r\ndata: y\r\n\r\n");
+    CHECK(framer.takeWhole() == "data: x\r\n\r\nweight-versions: 3\nid:8\r\ndata: y\r\n\r\n");
+    CHECK(framer.last() == event_number { 8 });
+}
+
+TEST_CASE("a stream cut at any bytes comes out as it went in" * doctest::test_suite("[events]"))
+{
+    std::string stream;
+    for (int number = 1; number <= 50; ++number)
+        stream += "id: " + std::to_string(number) + "\ndata: " + std::string(static_cast<std::size_t>(number), 'x')
+            + "\n\n";
+    constexpr unsigned seed = 11;
+    std::mt19937 random(seed);
+    for (int round = 0; round < 100; ++round) {
+        event_framer framer(std::nullopt);
+        std::string out;
+        std::size_t at = 0;
+        while (at < stream.size()) {
+            const auto size = std::min<std::size_t>(1 + random() % 40, stream.size() - at);
+            framer.append(std::string_view(stream).substr(at, size));
+            out += framer.takeWhole();
+            at += size;
+        }
+        CHECK(out == stream);
+        CHECK_FALSE(framer.hasPartial());
+    }
+}
--- /dev/null
+++ b/tests/unit/placement.tests.cpp
@@ -0,0 +1,124 @@
+#include "kumquatbeam/decisions/placement/least_running.hpp"
+#include "kumquatbeam/decisions/placement/prompt_homes.hpp"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+
+using namespace kumquatbeam;
+
+namespace {
+
+constexpr time_point start { std::chrono::hours(1) };
+constexpr double rate = 70;
+const failure_domain_id north { "north" };
+
+std::vector<endpoint_standing> engines(int count)
+{
+    std::vector<endpoint_standing> rows;
+    for (int index = 0; index < count; ++index)
+        rows.push_back({ .endpoint = { "engine" + std::to_string(index) }, .domain = north, .slots = { 48 } });
+    return rows;
+}
+
+prompt_shape promptOf(std::uint64_t beginning, std::int64_t shared, std::int64_t own)
+{
+    return { .model = "m",
+        .promptTokens = { shared + own },
+        .outputLimit = { 100 },
+        .parts = { { { beginning }, { shared } }, { { beginning * 1000 + 1 }, { own } } } };
+}
+
+placement_call callOf(const prompt_shape& prompt)
+{
+    return { prompt, north, std::chrono::milliseconds(300) };
+}
+
+} // namespace
+
+TEST_CASE("a beginning has one home while that engine is free" * doctest::test_suite("[placement]"))
+{
+    const prompt_homes homes(rate);
+    const auto rows = engines(9);
+    std::map<std::string, int> used;
+    for (std::uint64_t beginning = 1; beginning <= 90; ++beginning) {
+        const auto prompt = promptOf(beginning, 13'000, 3000);
+        const auto first = homes.place(callOf(prompt), rows, start);
+        CHECK(first->endpoint == homes.place(callOf(prompt), rows, start)->endpoint);
+        CHECK(first->toRead.value == 3000);
+        ++used[first->endpoint.value];
+    }
+    CHECK(used.size() == 9);
+}
+
+TEST_CASE("an engine that goes moves only the beginnings that it was the home of" * doctest::test_suite("[placement]"))
+{
+    const prompt_homes homes(rate);
+    const auto rows = engines(9);
+    auto fewer = rows;
+    fewer[4].isUsable = false;
+    for (std::uint64_t beginning = 1; beginning <= 90; ++beginning) {
+        const auto prompt = promptOf(beginning, 13'000, 3000);
+        const auto before = homes.place(callOf(prompt), rows, start)->endpoint;
+        const auto after = homes.place(callOf(prompt), fewer, start)->endpoint;
+        if (before != rows[4].endpoint)
+            CHECK(before == after);
+        else
+            CHECK(after != rows[4].endpoint);
+    }
+}
+
+TEST_CASE(
+    "a beginning goes to its second home only where reading it again is in time" * doctest::test_suite("[placement]"))
+{
+    const prompt_homes homes(rate);
+    auto rows = engines(9);
+    const auto prompt = promptOf(5, 13'000, 1000);
+    const auto home = homes.place(callOf(prompt), rows, start)->endpoint;
+    for (auto& row : rows) {
+        if (row.endpoint == home)
+            row.toRead = { 40'000 };
+    }
+    const auto second = homes.place(callOf(prompt), rows, start);
+    REQUIRE(second);
+    CHECK(second->endpoint != home);
+    CHECK(second->toRead.value == 14'000);
+    for (auto& row : rows)
+        row.toRead = { 40'000 };
+    CHECK_FALSE(homes.place(callOf(prompt), rows, start));
+}
+
+TEST_CASE("what other routers have sent counts as waiting" * doctest::test_suite("[placement]"))
+{
+    const prompt_homes homes(rate);
+    auto rows = engines(2);
+    const auto prompt = promptOf(7, 500, 500);
+    const auto first = homes.place(callOf(prompt), rows, start)->endpoint;
+    for (auto& row : rows) {
+        if (row.endpoint == first)
+            row.toReadElsewhere = { 20'000 };
+    }
+    CHECK(homes.place(callOf(prompt), rows, start)->endpoint != first);
+}
+
+TEST_CASE("without a usable engine nothing is placed" * doctest::test_suite("[placement]"))
+{
+    const prompt_homes homes(rate);
+    auto rows = engines(2);
+    for (auto& row : rows)
+        row.isUsable = false;
+    const auto prompt = promptOf(7, 500, 500);
+    CHECK_FALSE(homes.place(callOf(prompt), rows, start));
+    CHECK_FALSE(least_running {}.place(callOf(prompt), rows, start));
+}
+
+TEST_CASE("a plain call stays in its domain while that has free slots" * doctest::test_suite("[placement]"))
+{
+    std::vector<endpoint_standing> rows { { .endpoint = { "far" }, .domain = { "south" }, .slots = { 6 } },
+        { .endpoint = { "near" }, .domain = north, .slots = { 6 }, .running = 2 } };
+    const prompt_shape none;
+    CHECK(least_running {}.place(callOf(none), rows, start)->endpoint.value == "near");
+    rows[1].running = 4;
+    CHECK(least_running {}.place(callOf(none), rows, start)->endpoint.value == "far");
+}
--- /dev/null
+++ b/tests/unit/platform/decoders.tests.cpp
@@ -0,0 +1,202 @@
+#include "platform/endpoint_decoder.hpp"
+#include "platform/entry_settings.hpp"
+#include "platform/prompt_decoder.hpp"
+#include "platform/route_decoder.hpp"
+#include "platform/store_page.hpp"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace kumquatbeam;
+using namespace kumquatbeam::platform;
+
+namespace {
+
+const std::string routesText = R"({"version":7,"routes":[
+ {"name":"a","host":"Ficu.example","path_prefix":"/q/","kind":"streaming","timeout_ms":8000,"target_latency_ms":600,
+  "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"maximum_attempts":2,"public":false,"stream_resumption":true},
+ {"name":"b","host":"ficu.example","path_prefix":"/o/","kind":"non_idempotent","timeout_ms":1000,"service":"s2","public":true},
+ {"name":"c","host":"ficu.example","path_prefix":"/x/","kind":"who knows","timeout_ms":1000,"service":"s2"}],
+ "services":[{"name":"s1","engine":{"slots":48,"kv_cache_tokens":444000}},{"name":"s2"}],
+ "limits":{"header_bytes":100,"body_bytes":200,"header_timeout_ms":3000,"idle_timeout_ms":15000,"tokens_per_s":330000},
+ "tenants":[{"name":"t1","api_keys":["k1","k2"]}]})";
+
+const std::string endpointText
+    = R"({"service":"s1","address":"10.128.0.9:8080","zone":"z","slots":48,"state":"ready","born":17})";
+
+const std::string settingsText = R"(node_name = "n1"
+ip_address = "10.1.0.33"
+zone = "sohar"
+internal_port_range = [7400,7415]
+seeds = ["10.1.0.33:8785","10.2.0.18:8785"]
+something_new = { a = 1 }
+[listen]
+frontend = "10.1.0.33:8783"
+readiness = "10.1.0.33:8780"
+[bounds]
+revocation_ms = 5000
+grace_period_s = 8
+retry_budget_ratio = 0.2
+budget_slack = 54
+budget_window_s = 10
+[platform]
+address = "10.200.1.7:8781"
+)";
+
+/// Texts that are a valid one with a few bytes cut, changed or put in.
+std::vector<std::string> spoiled(const std::string& text, unsigned seed, int count)
+{
+    std::mt19937 random(seed);
+    std::vector<std::string> made;
+    for (int i = 0; i < count; ++i) {
+        auto copy = text;
+        for (unsigned change = 0; change <= random() % 3; ++change) {
+            const auto at = random() % copy.size();
+            switch (random() % 3) {
+            case 0:
+                copy.erase(at, 1 + random() % 20);
+                break;
+            case 1:
+                copy[at] = static_cast<char>(random());
+                break;
+            default:
+                copy.insert(at, 1, static_cast<char>(random()));
+            }
+        }
+        made.push_back(copy);
+    }
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("a configuration becomes a route table" * doctest::test_suite("[platform]"))
+{
+    const auto table = decodeRoutes(routesText);
+    REQUIRE(table.ok());
+    CHECK(table->current.value == 7);
+    const auto* quote = table->routeFor("ficu.example", "/q/1");
+    REQUIRE(quote);
+    CHECK(quote->kind == call_kind::ResumableStream);
+    CHECK(quote->attemptLimit == 2);
+    CHECK(quote->splits.size() == 2);
+    CHECK(quote->objective == std::chrono::milliseconds(600));
+    CHECK(table->routeFor("ficu.example", "/o/")->isPublic);
+    CHECK(table->routeFor("ficu.example", "/x/")->kind == call_kind::NonIdempotent);
+    CHECK(table->pools.at({ "s1" }).engine->slots.value == 48);
+    CHECK_FALSE(table->pools.at({ "s2" }).engine);
+    CHECK(table->accountOf("k2")->value == "t1");
+    CHECK(table->limits.idleTimeout == std::chrono::seconds(15));
+    CHECK(table->tokensPerSecond == 330'000);
+}
+
+TEST_CASE("a configuration that is not whole is refused as a whole" * doctest::test_suite("[platform]"))
+{
+    for (const char* text : { "", "{", "null", "[]", "{}", R"({"version":"x","routes":[],"services":[]})",
+             R"({"version":1,"routes":[{"name":"a"}],"services":[]})", R"({"version":1,"routes":{},"services":[3]})" })
+        CHECK_FALSE(decodeRoutes(text).ok());
+}
+
+TEST_CASE("an entry becomes an endpoint" * doctest::test_suite("[platform]"))
+{
+    const auto endpoint = decodeEndpoint("i-1", endpointText);
+    REQUIRE(endpoint.ok());
+    CHECK(endpoint->id.value == "i-1");
+    CHECK(endpoint->port == 8080);
+    CHECK(endpoint->life == 17);
+    CHECK_FALSE(endpoint->isDraining);
+}
+
+TEST_CASE("an entry that cannot be read names no endpoint" * doctest::test_suite("[platform]"))
+{
+    for (const char* text :
+        { "", "7", "{}", "\xff\xfe", R"({"service":1,"address":"1.2.3.4:5","zone":"z","slots":1,"state":"ready"})",
+            R"({"service":"s","address":"1.2.3.4","zone":"z","slots":1,"state":"ready"})",
+            R"({"service":"s","address":"1.2.3.4:0","zone":"z","slots":1,"state":"ready"})",
+            R"({"service":"s","address":"1.2.3.4:70000","zone":"z","slots":1,"state":"ready"})",
+            R"({"service":"s","address":"nowhere:80","zone":"z","slots":1,"state":"ready"})",
+            R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":0,"state":"ready"})",
+            R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":"1","state":"ready"})",
+            R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":1,"state":"gone"})",
+            R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":1})" })
+        CHECK_FALSE(decodeEndpoint("i-1", text).ok());
+}
+
+TEST_CASE(
+    "a page of the store is read, and a value that is no base64 is left empty" * doctest::test_suite("[platform]"))
+{
+    const auto page = decodeStorePage(
+        R"({"items":[{"key":"servers/a","value":"e30=","revision":4},{"key":"servers/b","value":"***","revision":5}],"truncated":true})");
+    REQUIRE(page.ok());
+    CHECK(page->items[0].value == "{}");
+    CHECK(page->items[1].value.empty());
+    CHECK(page->hasMore);
+    CHECK_FALSE(decodeStorePage(R"({"items":[{"key":1}]})").ok());
+    CHECK_FALSE(decodeStorePage("no").ok());
+    CHECK(storePageTarget("servers/i 1") == "/-/kv-range?path_prefix=&after=servers%2fi%201");
+}
+
+TEST_CASE("a prompt's parts are read, and malformed ones refused" * doctest::test_suite("[platform]"))
+{
+    prompt_shape prompt;
+    REQUIRE(decodePrompt("m", "1460,80", "5c1e07a2:800,91bd3f06:410,e4402b7d:250", prompt).ok());
+    CHECK(prompt.promptTokens.value == 1460);
+    CHECK(prompt.sharedTokens().value == 1210);
+    CHECK(prompt.cost().value == 1620);
+    for (const char* counts : { "1", "1,2,3", "a,b", "-1,2", "1,", "99999999999,1" })
+        CHECK_FALSE(decodePrompt("m", counts, "", prompt).ok());
+    for (const char* parts : { "x", "g1:3", "1:", ":3", "1:-3", "1:3,", "11112222333344445:3" })
+        CHECK_FALSE(decodePrompt("m", "1,2", parts, prompt).ok());
+}
+
+TEST_CASE("spoiled texts are refused or read, and nothing worse" * doctest::test_suite("[platform]"))
+{
+    constexpr unsigned seed = 5;
+    constexpr int count = 2000;
+    for (const auto& text : spoiled(routesText, seed, count))
+        static_cast<void>(decodeRoutes(text));
+    for (const auto& text : spoiled(endpointText, seed, count)) {
+        const auto endpoint = decodeEndpoint("i-1", text);
+        if (endpoint.ok())
+            CHECK(endpoint->slots.value >= 1);
+    }
+    for (const auto& text : spoiled(settingsText, seed, count)) {
+        std::vector<failure> faults;
+        const auto settings = parseEntrySettings(text, faults);
+        CHECK(settings.ok() == faults.empty());
+    }
+}
+
+TEST_CASE(
+    "the platform's settings are read, and fields that are not known are let be" * doctest::test_suite("[platform]"))
+{
+    std::vector<failure> faults;
+    const auto settings = parseEntrySettings(settingsText, faults);
+    REQUIRE(settings.ok());
+    CHECK(settings->router.callerPort == 8783);
+    CHECK(settings->router.readinessPort == 8780);
+    CHECK(settings->router.peerPort == 7400);
+    CHECK(settings->router.operatorPort == 7415);
+    CHECK(settings->router.domain.value == "sohar");
+    CHECK(settings->seeds == std::vector<std::string> { "10.1.0.33", "10.2.0.18" });
+    CHECK(settings->bounds.retryAllowance == 54);
+    CHECK(settings->router.drainNotice + settings->router.drainLimit < settings->bounds.gracePeriod);
+}
+
+TEST_CASE("every fault of the settings is named with its place" * doctest::test_suite("[platform]"))
+{
+    std::vector<failure> faults;
+    CHECK_FALSE(parseEntrySettings("zone = 3\n[listen]\nfrontend = \"x\"\n", faults).ok());
+    const auto names = [&](const std::string& place) {
+        return std::any_of(faults.begin(), faults.end(), [&](const failure& fault) { return fault.place == place; });
+    };
+    CHECK(names("node_name"));
+    CHECK(names("zone"));
+    CHECK(names("listen.frontend"));
+    CHECK(names("platform.address"));
+    CHECK(names("internal_port_range"));
+    faults.clear();
+    CHECK_FALSE(parseEntrySettings("= nothing", faults).ok());
+    CHECK(faults.front().kind == failure_kind::SyntaxError);
+}
--- /dev/null
+++ b/tests/unit/platform/dialects.tests.cpp
@@ -0,0 +1,199 @@
+#include "platform/platform_caller_dialect.hpp"
+#include "platform/platform_endpoint_dialect.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace kumquatbeam;
+using namespace kumquatbeam::platform;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr time_point now { std::chrono::hours(1) };
+
+http_request clientRequest()
+{
+    http_request request { http::verb::post, "/q/2f?x=1", 11 };
+    request.set(http::field::host, "ficu95.example");
+    request.set("Attempt-Id", "9c41");
+    request.set("Deadline-Milliseconds", "8000");
+    request.set(http::field::authorization, "Bearer secret");
+    request.body() = "body";
+    return request;
+}
+
+bool hasField(const header_fields& fields, std::string_view name)
+{
+    return std::any_of(fields.begin(), fields.end(), [name](const header_field& field) { return field.name == name; });
+}
+
+start_attempt attemptOf(const std::string& label)
+{
+    call_request call;
+    call.label = { label };
+    call.method = "POST";
+    call.target = "/q/2f";
+    call.authority = "ficu95.example";
+    call.fields = { { "Model", "m" }, { "Last-Event-Id", "1" } };
+    call.body = "body";
+    return { .id = { 1 },
+        .to = { { "i-7" }, "10.0.0.1", 80 },
+        .call = std::make_shared<const call_request>(call),
+        .account = { "weavers" } };
+}
+
+http::response_header<> answer(unsigned status, const std::vector<header_field>& fields)
+{
+    http::response_header<> head;
+    head.result(status);
+    for (const auto& field : fields)
+        head.insert(field.name, field.value);
+    return head;
+}
+
+answer_meaning meaningOf(const http::response_header<>& head)
+{
+    return platform_endpoint_dialect {}.judge(head, false, attemptOf("9c41"), "").meaning;
+}
+
+} // namespace
+
+TEST_CASE("a request keeps its end-to-end fields and loses those that only the router sets"
+    * doctest::test_suite("[platform]"))
+{
+    auto request = clientRequest();
+    request.set("Connection", "keep-alive, X-Hop");
+    request.set("X-Hop", "1");
+    request.set("X-Kept", "2");
+    for (const char* own :
+        { "Tenant", "Expected-Instance", "Hold", "Pin-Milliseconds", "Kv-Cache-Backup", "Kv-From", "Kv-Fetch" })
+        request.set(own, "forged");
+    const auto call = platform_caller_dialect {}.decode(std::move(request), now);
+    REQUIRE(call.ok());
+    CHECK(call->method == "POST");
+    CHECK(call->target == "/q/2f?x=1");
+    CHECK(call->credential == "secret");
+    CHECK(call->deadline == now + std::chrono::seconds(8));
+    CHECK(hasField(call->fields, "Attempt-Id"));
+    CHECK(hasField(call->fields, "X-Kept"));
+    for (const char* dropped : { "Tenant", "Expected-Instance", "Hold", "Pin-Milliseconds", "Kv-Cache-Backup",
+             "Kv-From", "Kv-Fetch", "X-Hop", "Connection", "Authorization", "Deadline-Milliseconds" })
+        CHECK_FALSE(hasField(call->fields, dropped));
+}
+
+TEST_CASE("a request whose frame or owner is in doubt is refused" * doctest::test_suite("[platform]"))
+{
+    const auto isRefused = [](auto&& spoil) {
+        auto request = clientRequest();
+        spoil(request);
+        return !platform_caller_dialect {}.decode(std::move(request), now).ok();
+    };
+    CHECK(isRefused([](auto& request) { request.insert("Host", "other.example"); }));
+    CHECK(isRefused([](auto& request) { request.erase("Host"); }));
+    CHECK(isRefused([](auto& request) { request.insert("Attempt-Id", "other"); }));
+    CHECK(isRefused([](auto& request) { request.erase("Attempt-Id"); }));
+    CHECK(isRefused([](auto& request) { request.set("Transfer-Encoding", "xchunked"); }));
+    CHECK(isRefused([](auto& request) { request.set("Transfer-Encoding", "identity, chunked"); }));
+    CHECK(isRefused([](auto& request) {
+        request.set("Transfer-Encoding", "chunked");
+        request.set("Content-Length", "4");
+    }));
+    CHECK(isRefused([](auto& request) { request.set("Deadline-Milliseconds", "soon"); }));
+    CHECK(isRefused([](auto& request) { request.insert("Authorization", "Bearer other"); }));
+}
+
+TEST_CASE("only a call that has not run is answered with a status that promises so" * doctest::test_suite("[platform]"))
+{
+    const platform_caller_dialect dialect;
+    const auto statusOf = [&](reply_kind kind, failure_kind problem) {
+        call_reply reply { .kind = kind, .problem = failure { problem } };
+        return dialect.encodeReply(reply, 11, true, now).result_int();
+    };
+    for (const auto kind : { failure_kind::PoolBusy, failure_kind::NoEndpoint, failure_kind::KeysStale,
+             failure_kind::EndpointUnreachable, failure_kind::EndpointBroke, failure_kind::EndpointTimedOut,
+             failure_kind::CallerGone, failure_kind::Draining, failure_kind::EndpointRefused }) {
+        const auto unknown = statusOf(reply_kind::Unknown, kind);
+        CHECK((unknown == 502 || unknown == 504));
+    }
+    CHECK(statusOf(reply_kind::NotRun, failure_kind::PoolBusy) == 503);
+    CHECK(statusOf(reply_kind::NotRun, failure_kind::UnknownRoute) == 404);
+    CHECK(statusOf(reply_kind::NotRun, failure_kind::UnknownAccount) == 401);
+    CHECK(statusOf(reply_kind::NotRun, failure_kind::NotReady) == 503);
+}
+
+TEST_CASE("a refusal tells in fractions of a second when to come back" * doctest::test_suite("[platform]"))
+{
+    call_reply reply { .kind = reply_kind::NotRun, .problem = failure { failure_kind::PoolBusy } };
+    reply.retryAt = now + std::chrono::milliseconds(250);
+    const auto response = platform_caller_dialect {}.encodeReply(reply, 11, true, now);
+    CHECK(response[http::field::retry_after] == "0.250");
+}
+
+TEST_CASE("an endpoint's answer goes on with its own status, fields and body" * doctest::test_suite("[platform]"))
+{
+    call_reply reply { .kind = reply_kind::Answered };
+    reply.status = { 500 };
+    reply.fields = { { "Response-Seal", "3e1b" } };
+    reply.body = "whole";
+    const auto response = platform_caller_dialect {}.encodeReply(reply, 11, true, now);
+    CHECK(response.result_int() == 500);
+    CHECK(response["Response-Seal"] == "3e1b");
+    CHECK(response.body() == "whole");
+    CHECK(response[http::field::content_length] == "5");
+}
+
+TEST_CASE("an attempt names the endpoint, the account and the time left" * doctest::test_suite("[platform]"))
+{
+    const platform_endpoint_dialect dialect;
+    auto attempt = attemptOf("9c41");
+    attempt.resumeAfter = event_number { 6 };
+    auto request = dialect.encode(attempt, "");
+    dialect.stateTimeLeft(request, std::chrono::milliseconds(1234));
+    CHECK(request["Expected-Instance"] == "i-7");
+    CHECK(request["Tenant"] == "weavers");
+    CHECK(request["Deadline-Milliseconds"] == "1234");
+    CHECK(request["Last-Event-Id"] == "6");
+    CHECK(request.count("Last-Event-Id") == 1);
+    CHECK(request[http::field::host] == "ficu95.example");
+    CHECK(request.body() == "body");
+}
+
+TEST_CASE("an answer is judged by its head" * doctest::test_suite("[platform]"))
+{
+    CHECK(meaningOf(answer(200, { { "Attempt-Id", "9c41" }, { "Response-Seal", "s" } })) == answer_meaning::Answer);
+    CHECK(meaningOf(answer(500, { { "Attempt-Id", "9c41" }, { "Response-Seal", "s" } })) == answer_meaning::Answer);
+    CHECK(meaningOf(answer(200, { { "Attempt-Id", "other" }, { "Response-Seal", "s" } })) == answer_meaning::Foreign);
+    CHECK(meaningOf(answer(200, { { "Attempt-Id", "9c41" } })) == answer_meaning::Broken);
+    CHECK(meaningOf(answer(200, { { "Response-Seal", "s" } })) == answer_meaning::Broken);
+    CHECK(meaningOf(answer(200, { { "Attempt-Id", "9c41" }, { "Response-Seal", "s" }, { "Content-Encoding", "gzip" } }))
+        == answer_meaning::Broken);
+    CHECK(meaningOf(answer(503, { { "Attempt-Id", "9c41" }, { "Not-Executed", "1" } })) == answer_meaning::NotRun);
+    CHECK(meaningOf(answer(400, { { "Not-Executed", "1" } })) == answer_meaning::NotRun);
+    CHECK(meaningOf(answer(421, { { "Instance-Id", "i-8" } })) == answer_meaning::NotRun);
+}
+
+TEST_CASE("a status that promises not to have run is not passed on without the endpoint's own word"
+    * doctest::test_suite("[platform]"))
+{
+    for (const unsigned status : { 408U, 429U, 503U })
+        CHECK(meaningOf(answer(status, { { "Attempt-Id", "9c41" }, { "Response-Seal", "s" } }))
+            == answer_meaning::Broken);
+}
+
+TEST_CASE("the terms of a kept connection and the load are read from an answer" * doctest::test_suite("[platform]"))
+{
+    const platform_endpoint_dialect dialect;
+    const auto terms = dialect.termsOf(answer(200, { { "Keep-Alive", "max=3, timeout=7" } }));
+    CHECK(terms.mayKeep);
+    CHECK(terms.idleTimeout == std::chrono::seconds(7));
+    CHECK_FALSE(dialect.termsOf(answer(200, { { "Keep-Alive", "timeout=x" } })).idleTimeout);
+    const auto load = dialect.loadOf(answer(200, { { "Server-Load", "3,2,8" } }), { "i-7" });
+    REQUIRE(load);
+    CHECK(load->running == 3);
+    CHECK(load->waiting == 2);
+    CHECK_FALSE(dialect.loadOf(answer(200, { { "Server-Load", "3,2" } }), { "i-7" }));
+    CHECK_FALSE(
+        hasField(dialect.passedOn(answer(200, { { "Server-Load", "3,2,8" }, { "Keep-Alive", "x" } })), "Server-Load"));
+}
--- /dev/null
+++ b/tests/unit/route_table.tests.cpp
@@ -0,0 +1,60 @@
+#include "kumquatbeam/settings/route_table.hpp"
+#include "kumquatbeam/types/credential_digest.hpp"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace kumquatbeam;
+
+namespace {
+
+call_route routeOf(const std::string& id, const std::string& prefix)
+{
+    return { .id = { id }, .host = "desk.example", .pathPrefix = prefix, .splits = { { { "pool" } } } };
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host's routes is taken" * doctest::test_suite("[routes]"))
+{
+    route_table table;
+    table.routes["desk.example"] = { routeOf("all", "/"), routeOf("deep", "/a/b/"), routeOf("mid", "/a/") };
+    table.index();
+    CHECK(table.routeFor("desk.example", "/a/b/c")->id.value == "deep");
+    CHECK(table.routeFor("desk.example", "/a/x")->id.value == "mid");
+    CHECK(table.routeFor("desk.example", "/a/b")->id.value == "mid");
+    CHECK(table.routeFor("desk.example", "/z")->id.value == "all");
+}
+
+TEST_CASE("a port and the case of the host do not count, and neither does a query" * doctest::test_suite("[routes]"))
+{
+    route_table table;
+    table.routes["desk.example"] = { routeOf("a", "/a/") };
+    table.index();
+    CHECK(table.routeFor("DESK.example:8080", "/a/x?y=/b/") != nullptr);
+    CHECK(table.routeFor("desk.example", "/b/?x=/a/") == nullptr);
+    CHECK(table.routeFor("other.example", "/a/x") == nullptr);
+}
+
+TEST_CASE("a split sends each request to one pool, and all of them by their weights" * doctest::test_suite("[routes]"))
+{
+    call_route route { .splits = { { { "large" }, 90 }, { { "small" }, 10 } } };
+    std::map<std::string, int> counts;
+    for (int number = 0; number < 10'000; ++number) {
+        const request_label label { "request-" + std::to_string(number) };
+        CHECK(route.poolFor(label) == route.poolFor(label));
+        ++counts[route.poolFor(label).value];
+    }
+    CHECK(counts["small"] > 800);
+    CHECK(counts["small"] < 1200);
+}
+
+TEST_CASE("a key proves its account, and no other text does" * doctest::test_suite("[routes]"))
+{
+    route_table table;
+    table.accountsByDigest.emplace(credentialDigest("secret"), client_account_id { "weavers" });
+    CHECK(table.accountOf("secret")->value == "weavers");
+    CHECK(table.accountOf("Secret") == nullptr);
+    CHECK(table.accountOf("") == nullptr);
+}
