Count accounts that ask at other routers alone when shares are worked out

The level of shares was worked out from the accounts that the router had seen itself, so a router with one busy account took the whole pool for that account's.

Ruled out: the engines' waits, since the short one's calls were let in up to 80 ms and refused above.

Change: every account of the beats claims its share; a unit test shows it (it fails without).

--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -143,7 +143,7 @@
             found = m_pools
                         .emplace(id,
                             dispatch_pool { makeStrategy(id), {}, {}, shared_retry_budget(terms),
-                                account_shares([this](wire_key account) { return m_fleet.ratesElsewhere(account); }) })
+                                account_shares(m_fleet.ratesElsewhere()) })
                         .first;
         }
         refreshPool(found->second, id);
--- a/src/kumquatbeam/controllers/fleet_controller.cpp
+++ b/src/kumquatbeam/controllers/fleet_controller.cpp
@@ -61,12 +61,6 @@
     return found == m_elsewhere.end() ? load {} : found->second;
 }
 
-account_rates fleet_controller::ratesElsewhere(wire_key account) const
-{
-    const auto found = m_ratesElsewhere.find(account);
-    return found == m_ratesElsewhere.end() ? account_rates {} : found->second;
-}
-
 std::int64_t fleet_controller::routersAtMost() const
 {
     const auto others = std::count_if(m_members.begin(), m_members.end(),
@@ -137,6 +131,8 @@
         auto& sum = m_ratesElsewhere[row.account];
         sum.asked += static_cast<double>(sign * row.askedPerSecond.value);
         sum.admitted += static_cast<double>(sign * row.admittedPerSecond.value);
+        if (sum.asked == 0 && sum.admitted == 0)
+            m_ratesElsewhere.erase(row.account);
     }
 }
 
--- a/src/kumquatbeam/controllers/fleet_controller.hpp
+++ b/src/kumquatbeam/controllers/fleet_controller.hpp
@@ -57,8 +57,8 @@
     /// What the other routers have running at an endpoint, by their last words.
     load loadElsewhere(wire_key endpoint) const;
 
-    /// What an account asked for and got at the other routers, by their last words.
-    account_rates ratesElsewhere(wire_key account) const;
+    /// What every account asked for and got at the other routers, by their last words.
+    const account_shares::rate_map& ratesElsewhere() const { return m_ratesElsewhere; }
 
     /// Routers that may be serving, this one among them: also those that are silent and may just be cut off.
     std::int64_t routersAtMost() const;
@@ -96,7 +96,7 @@
     const load_source* m_source = nullptr;
     std::map<entry_vm_id, member> m_members;
     std::unordered_map<wire_key, load> m_elsewhere;
-    std::unordered_map<wire_key, account_rates> m_ratesElsewhere;
+    account_shares::rate_map m_ratesElsewhere;
     std::uint64_t m_sequence = 0;
     time_point m_nextBeat {};
     bool m_isLeaving = false;
--- a/src/kumquatbeam/decisions/admission/account_shares.cpp
+++ b/src/kumquatbeam/decisions/admission/account_shares.cpp
@@ -15,8 +15,8 @@
 
 } // namespace
 
-account_shares::account_shares(elsewhere_rates elsewhere)
-    : m_elsewhere(std::move(elsewhere))
+account_shares::account_shares(const rate_map& elsewhere)
+    : m_elsewhere(elsewhere)
 {
 }
 
@@ -59,19 +59,27 @@
 
 account_rates account_shares::ratesOf(const account_row& row, time_point now) const
 {
-    const auto others = m_elsewhere(row.key);
-    return { row.asked.perSecond(now) + others.asked, row.admitted.perSecond(now) + others.admitted };
+    const auto others = m_elsewhere.find(row.key);
+    account_rates rates { row.asked.perSecond(now), row.admitted.perSecond(now) };
+    if (others != m_elsewhere.end()) {
+        rates.asked += others->second.asked;
+        rates.admitted += others->second.admitted;
+    }
+    return rates;
 }
 
 void account_shares::refreshLevel(time_point now)
 {
     m_levelUntil = now + levelLifetime;
+    // An account that asks at other routers alone claims its share all the same.
+    auto rates = m_elsewhere;
+    for (const auto& [id, row] : m_accounts)
+        rates[row.key] = ratesOf(row, now);
     std::vector<slot_claim> claims;
     double admitted = 0;
-    for (const auto& [id, row] : m_accounts) {
-        const auto rates = ratesOf(row, now);
-        claims.push_back({ .share = 1, .demand = rates.asked });
-        admitted += rates.admitted;
+    for (const auto& [key, rate] : rates) {
+        claims.push_back({ .share = 1, .demand = rate.asked });
+        admitted += rate.admitted;
     }
     const auto parts = waterFill(claims, std::max(m_capacity, admitted));
     m_level = 0;
--- a/src/kumquatbeam/decisions/admission/account_shares.hpp
+++ b/src/kumquatbeam/decisions/admission/account_shares.hpp
@@ -4,7 +4,6 @@
 #include "kumquatbeam/types/ids.hpp"
 #include "kumquatbeam/types/units.hpp"
 
-#include <functional>
 #include <unordered_map>
 #include <vector>
 
@@ -22,10 +21,11 @@
 /// same level. A router that is cut off goes on with what it sees itself.
 class account_shares {
 public:
-    /// What the other routers say of an account.
-    using elsewhere_rates = std::function<account_rates(wire_key)>;
+    /// What the other routers say of every account that asked there.
+    using rate_map = std::unordered_map<wire_key, account_rates>;
 
-    explicit account_shares(elsewhere_rates elsewhere);
+    /// `elsewhere` has to outlive the object; it is looked up whenever a level is worked out.
+    explicit account_shares(const rate_map& elsewhere);
 
     /// Tokens a second that the pool is known to give; zero where unknown. It may turn out to give more.
     void setCapacity(double tokensPerSecond) { m_capacity = tokensPerSecond; }
@@ -56,7 +56,7 @@
     account_rates ratesOf(const account_row&, time_point now) const;
     void refreshLevel(time_point now);
 
-    elsewhere_rates m_elsewhere;
+    const rate_map& m_elsewhere;
     double m_capacity = 0;
     std::unordered_map<client_account_id, account_row> m_accounts;
     /// Tokens a second of an account that gets less than it asks for; zero while there is none.
--- a/tests/unit/admission.tests.cpp
+++ b/tests/unit/admission.tests.cpp
@@ -1,6 +1,7 @@
 #include "kumquatbeam/decisions/admission/account_shares.hpp"
 #include "kumquatbeam/decisions/admission/wait_terms.hpp"
 #include "kumquatbeam/decisions/shared_retry_budget.hpp"
+#include "kumquatbeam/types/wire_key.hpp"
 
 #include <doctest/doctest.h>
 
@@ -10,9 +11,11 @@
 
 constexpr time_point start { std::chrono::hours(1) };
 
+const account_shares::rate_map nowhere;
+
 account_shares ownShares()
 {
-    return account_shares([](wire_key) { return account_rates {}; });
+    return account_shares(nowhere);
 }
 
 } // namespace
@@ -45,12 +48,23 @@
 
 TEST_CASE("what other routers say counts like what is seen here" * doctest::test_suite("[admission]"))
 {
-    account_shares shares([](wire_key) { return account_rates { 50'000, 9'000 }; });
+    const account_shares::rate_map elsewhere { { wireKeyOf(std::string("flood")), { 50'000, 9000 } } };
+    account_shares shares(elsewhere);
     shares.setCapacity(10'000);
     shares.recordAsked({ "flood" }, { 1000 }, start);
     CHECK(shares.standing({ "flood" }, start) > 0.8);
 }
 
+TEST_CASE("an account that asks at other routers alone claims its share" * doctest::test_suite("[admission]"))
+{
+    const account_shares::rate_map elsewhere { { wireKeyOf(std::string("other")), { 50'000, 1000 } } };
+    account_shares shares(elsewhere);
+    shares.setCapacity(10'000);
+    shares.recordAsked({ "flood" }, { 50'000 }, start);
+    shares.recordAdmitted({ "flood" }, { 9000 }, start);
+    CHECK(shares.standing({ "flood" }, start) == doctest::Approx(1.8));
+}
+
 TEST_CASE("a rate fades with the time since" * doctest::test_suite("[admission]"))
 {
     decayed_rate rate;
