Let shares count only while engines are under pressure

Change: the wait that a call may start for is that of an idle pool while the mean wait is under 3% of the objective, and that of its account's standing from 15% on.

--- a/src/kumquatbeam/controllers/decision_event.hpp
+++ b/src/kumquatbeam/controllers/decision_event.hpp
@@ -193,14 +193,17 @@
 /// A route table came into force; raised by the controller that owns it.
 struct routes_changed { };
 
+/// What the other routers have running changed; raised by the controller that owns it.
+struct fleet_load_changed { };
+
 /// What is believed about the endpoints changed; raised by the controller that owns it.
 struct directory_changed { };
 
 /// Everything that reaches the decisions duty.
 using decision_event = std::variant<request_arrived, request_admitted, request_refused, request_ended,
     request_abandoned, attempt_ended, answer_begun, load_observed, routes_observed, directory_observed, source_lost,
-    source_regained, source_faulty, settings_reloaded, routes_changed, directory_changed, document_published,
-    members_published, document_accepted, membership_changed, peer_connected, peer_lost, peer_received,
-    status_requested, shutdown_requested, callers_finished, peers_finished>;
+    source_regained, source_faulty, settings_reloaded, routes_changed, fleet_load_changed, directory_changed,
+    document_published, members_published, document_accepted, membership_changed, peer_connected, peer_lost,
+    peer_received, status_requested, shutdown_requested, callers_finished, peers_finished>;
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -52,6 +52,7 @@
     const event_handlers handlers {
         [&](const routes_changed&) { refreshPools(); },
         [&](const directory_changed&) { refreshPools(); },
+        [&](const fleet_load_changed&) { takeLoadElsewhere(); },
         [&](const request_admitted& admitted) { admit(admitted.context, context); },
         [&](const request_refused& refused) { recordAsked(refused.context, context.now); },
         [&](const request_abandoned& abandoned) { abandon(abandoned.id, context); },
@@ -111,22 +112,35 @@
     const auto& pool = found->second;
     auto endpoints = pool.endpoints;
     for (auto& row : endpoints) {
-        const auto elsewhere = m_fleet.loadElsewhere(row.key);
-        row.runningElsewhere = elsewhere.running;
-        row.toReadElsewhere = elsewhere.toRead;
         row.isUsable
             = row.isUsable && !tried.contains(row.endpoint) && pool.health.admits(row.endpoint, row.running > 0, now);
     }
-    const placement_call call { request.call->prompt, m_domain, waitLimitOf(request, pool.shares, now) };
+    const placement_call call { request.call->prompt, m_domain, waitLimitOf(request, pool, now) };
     return pool.strategy->place(call, endpoints, now);
 }
 
+void dispatch_controller::takeLoadElsewhere()
+{
+    for (auto& [id, pool] : m_pools) {
+        for (auto& row : pool.endpoints) {
+            const auto elsewhere = m_fleet.loadElsewhere(row.key);
+            row.runningElsewhere = elsewhere.running;
+            row.toReadElsewhere = elsewhere.toRead;
+        }
+    }
+}
+
 std::chrono::microseconds dispatch_controller::waitLimitOf(
-    const request_context& request, const account_shares& shares, time_point now) const
+    const request_context& request, const dispatch_pool& pool, time_point now) const
 {
-    const auto standing = request.account.value.empty() ? 0 : shares.standing(request.account, now);
-    const auto part = waitPartOf(standing);
-    return std::chrono::duration_cast<std::chrono::microseconds>(request.matched->route->objective * part);
+    const auto objective = std::chrono::duration_cast<std::chrono::microseconds>(request.matched->route->objective);
+    const auto standing = request.account.value.empty() ? 0 : pool.shares.standing(request.account, now);
+    std::chrono::microseconds waits { 0 };
+    for (const auto& row : pool.endpoints)
+        waits += pool.strategy->waitAt(row);
+    const auto engines = static_cast<double>(std::max<std::size_t>(pool.endpoints.size(), 1));
+    const auto pressure = static_cast<double>(waits.count()) / engines / static_cast<double>(objective.count());
+    return std::chrono::duration_cast<std::chrono::microseconds>(objective * waitPartOf(standing, pressure));
 }
 
 void dispatch_controller::refreshPools()
--- a/src/kumquatbeam/controllers/dispatch_controller.hpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.hpp
@@ -71,10 +71,11 @@
     };
 
     void refreshPools();
+    void takeLoadElsewhere();
     void refreshPool(dispatch_pool&, const pool_id&);
     std::unique_ptr<placement_strategy> makeStrategy(const pool_id&) const;
     std::optional<placement> choose(const request_context&, const std::set<endpoint_id>& tried, time_point now) const;
-    std::chrono::microseconds waitLimitOf(const request_context&, const account_shares&, time_point now) const;
+    std::chrono::microseconds waitLimitOf(const request_context&, const dispatch_pool&, time_point now) const;
     void admit(const request_context&, decision_context&);
     void recordAsked(const request_context&, time_point now);
     bool start(running_call, decision_context&);
--- a/src/kumquatbeam/controllers/fleet_controller.cpp
+++ b/src/kumquatbeam/controllers/fleet_controller.cpp
@@ -97,6 +97,7 @@
     countLoad(known, 1);
     for (const auto& router : beat.known)
         learn(router, context);
+    context.raised.emplace_back(fleet_load_changed {});
 }
 
 void fleet_controller::takeSeeds(std::vector<std::string> seeds)
@@ -143,6 +144,7 @@
             continue;
         countLoad(known, -1);
         context.log.changed({ name(), "silent", id.value });
+        context.raised.emplace_back(fleet_load_changed {});
     }
     const auto forgotten
         = std::erase_if(m_members, [&](const auto& entry) { return context.now >= entry.second.forgetAt; });
--- a/src/kumquatbeam/decisions/admission/wait_terms.cpp
+++ b/src/kumquatbeam/decisions/admission/wait_terms.cpp
@@ -24,21 +24,33 @@
     /// Standing from which an account is refused outright.
     constexpr double refusedStanding = 1.6;
 
+    /// @{ Pressures at which shares begin to count, and from which on they count in full.
+    constexpr double lightPressure = 0.03;
+    constexpr double fullPressure = 0.15;
+    /// @}
+
+    double partUnderPressure(double standing)
+    {
+        if (standing >= refusedStanding)
+            return -1;
+        const auto above = std::find_if(
+            termTable.begin(), termTable.end(), [standing](const term_row& row) { return standing < row.standing; });
+        if (above == termTable.begin())
+            return above->part;
+        const auto below = std::prev(above);
+        if (above == termTable.end())
+            return below->part;
+        const double way = (standing - below->standing) / (above->standing - below->standing);
+        return below->part + way * (above->part - below->part);
+    }
+
 } // namespace
 
-double waitPartOf(double standing)
+double waitPartOf(double standing, double pressure)
 {
-    if (standing >= refusedStanding)
-        return -1;
-    const auto above = std::find_if(
-        termTable.begin(), termTable.end(), [standing](const term_row& row) { return standing < row.standing; });
-    if (above == termTable.begin())
-        return above->part;
-    const auto below = std::prev(above);
-    if (above == termTable.end())
-        return below->part;
-    const double way = (standing - below->standing) / (above->standing - below->standing);
-    return below->part + way * (above->part - below->part);
+    const auto weight = std::clamp((pressure - lightPressure) / (fullPressure - lightPressure), 0.0, 1.0);
+    const auto relaxed = termTable.front().part;
+    return relaxed + weight * (partUnderPressure(standing) - relaxed);
 }
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/decisions/placement/least_running.hpp
+++ b/src/kumquatbeam/decisions/placement/least_running.hpp
@@ -11,6 +11,7 @@
     std::string_view name() const override { return "least-running"; }
     std::optional<placement> place(
         const placement_call&, std::span<const endpoint_standing>, time_point now) const override;
+    std::chrono::microseconds waitAt(const endpoint_standing&) const override { return {}; }
     void recordPlaced(const prompt_shape&, const endpoint_id&, time_point) override { }
 };
 
--- a/src/kumquatbeam/decisions/placement/placement_strategy.hpp
+++ b/src/kumquatbeam/decisions/placement/placement_strategy.hpp
@@ -68,6 +68,9 @@
     virtual std::optional<placement> place(
         const placement_call&, std::span<const endpoint_standing>, time_point now) const = 0;
 
+    /// Time until an endpoint has read the prompts that it was sent, as far as is known.
+    virtual std::chrono::microseconds waitAt(const endpoint_standing&) const = 0;
+
     /// Takes in that a call went where `place` said.
     virtual void recordPlaced(const prompt_shape&, const endpoint_id&, time_point now) = 0;
 };
--- a/src/kumquatbeam/decisions/placement/prompt_homes.hpp
+++ b/src/kumquatbeam/decisions/placement/prompt_homes.hpp
@@ -30,6 +30,10 @@
     std::string_view name() const override { return "prompt-homes"; }
     std::optional<placement> place(
         const placement_call&, std::span<const endpoint_standing>, time_point now) const override;
+    std::chrono::microseconds waitAt(const endpoint_standing& row) const override
+    {
+        return timeToRead(row.toReadInAll());
+    }
     void recordPlaced(const prompt_shape&, const endpoint_id&, time_point now) override;
 
     void setRate(double tokensPerMillisecond) { m_rate = tokensPerMillisecond; }
