Test the whole path on a stand-in of the platform

A store and workers that speak the published protocol, entry routers as processes, and a scenario of 87 checks: calls of every kind, unclear frames, misbehaving workers, leaving callers, draining, revoked keys, store outages, reload, shutdown.

Found by it: a worker that answered 421 once was never used again while its entry stayed. It is now left out for three seconds or until the directory changes.

--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -17,6 +17,10 @@
     /// Attempts at one call, those included of which no byte went out.
     constexpr int madeLimit = 5;
 
+    /// Time for which an endpoint is not used after another one has answered at its address. The directory shows by
+    /// then which endpoint has it.
+    constexpr std::chrono::seconds replacedFor { 3 };
+
     /// Part of the time left that the first attempt at a call gets where another one may follow.
     constexpr double firstAttemptPart = 0.5;
 
@@ -51,7 +55,10 @@
 {
     const event_handlers handlers {
         [&](const routes_changed&) { refreshPools(); },
-        [&](const directory_changed&) { refreshPools(); },
+        [&](const directory_changed&) {
+            m_replaced.clear();
+            refreshPools();
+        },
         [&](const fleet_load_changed&) { takeLoadElsewhere(); },
         [&](const request_admitted& admitted) { admit(admitted.context, context); },
         [&](const request_refused& refused) { recordAsked(refused.context, context.now); },
@@ -99,7 +106,8 @@
         return false;
     const auto& endpoints = found->second.endpoints;
     return std::any_of(endpoints.begin(), endpoints.end(), [&](const endpoint_standing& row) {
-        return row.isUsable && found->second.health.admits(row.endpoint, row.running > 0, now);
+        return row.isUsable && !isReplaced(row.endpoint, now)
+            && found->second.health.admits(row.endpoint, row.running > 0, now);
     });
 }
 
@@ -112,8 +120,8 @@
     const auto& pool = found->second;
     auto endpoints = pool.endpoints;
     for (auto& row : endpoints) {
-        row.isUsable
-            = row.isUsable && !tried.contains(row.endpoint) && pool.health.admits(row.endpoint, row.running > 0, now);
+        row.isUsable = row.isUsable && !tried.contains(row.endpoint) && !isReplaced(row.endpoint, now)
+            && pool.health.admits(row.endpoint, row.running > 0, now);
     }
     const placement_call call { request.call->prompt, m_domain, waitLimitOf(request, pool, now) };
     return pool.strategy->place(call, endpoints, now);
@@ -179,9 +187,8 @@
             old.begin(), old.end(), [&](const endpoint_standing& known) { return known.endpoint == name; });
         if (before != old.end())
             row = *before;
-        const auto replaced = m_replaced.find(name);
         row.slots = announced.slots;
-        row.isUsable = !announced.isDraining && (replaced == m_replaced.end() || replaced->second != announced.life);
+        row.isUsable = !announced.isDraining;
         names.insert(name);
         pool.endpoints.push_back(std::move(row));
     }
@@ -311,14 +318,17 @@
     settle(std::move(call), ended, context);
 }
 
+bool dispatch_controller::isReplaced(const endpoint_id& endpoint, time_point now) const
+{
+    const auto replaced = m_replaced.find(endpoint);
+    return replaced != m_replaced.end() && now < replaced->second;
+}
+
 void dispatch_controller::recordHealth(dispatch_pool& pool, const attempt_ended& ended, time_point now)
 {
     const auto problem = ended.problem ? ended.problem->kind : failure_kind::None;
     if (problem == failure_kind::EndpointReplaced) {
-        if (const auto* announced = m_directory.find(ended.endpoint))
-            m_replaced[ended.endpoint] = announced->life;
-        for (auto& row : pool.endpoints)
-            row.isUsable = row.isUsable && row.endpoint != ended.endpoint;
+        m_replaced[ended.endpoint] = now + replacedFor;
         return;
     }
     if (ended.outcome == attempt_outcome::Completed)
--- a/src/kumquatbeam/controllers/dispatch_controller.hpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.hpp
@@ -82,6 +82,7 @@
     void begin(request_id, time_point now);
     void abandon(request_id, decision_context&);
     void finishAttempt(const attempt_ended&, decision_context&);
+    bool isReplaced(const endpoint_id&, time_point now) const;
     void recordHealth(dispatch_pool&, const attempt_ended&, time_point now);
     void settle(running_call, const attempt_ended&, decision_context&);
     attempt_facts factsOf(const running_call&, const attempt_ended&, time_point now) const;
@@ -99,8 +100,9 @@
     const fleet_controller& m_fleet;
     std::map<pool_id, dispatch_pool> m_pools;
     std::unordered_map<request_id, running_call> m_running;
-    /// Endpoints at whose address another one has answered, by the life that was expected there.
-    std::map<endpoint_id, std::int64_t> m_replaced;
+    /// Endpoints at whose address another one has answered, and until when that is believed. The directory knows better
+    /// soon.
+    std::map<endpoint_id, time_point> m_replaced;
 };
 
 } // namespace kumquatbeam
--- /dev/null
+++ b/tests/scenarios/platform_path.py
@@ -0,0 +1,166 @@
+"""Calls of every kind go through entry routers on a stand-in of the users' platform, while workers misbehave, callers leave,
+the store fails and routers are told to reload and to stop."""
+
+import sys
+import time
+
+import platform_fleet
+from checks import Checks
+from platform_fleet import Caller, in_background, raw_exchange
+
+
+def events(identity, last):
+    return "".join(f"id: {number}\ndata: {identity} event {number}\n\n" for number in range(1, last + 1)).encode()
+
+
+def check_kinds(checks, running, router):
+    caller = Caller(router)
+    status, fields, body = caller.call("k1", "/lookup/a?b=c", method="GET")
+    checks.true("an idempotent call is answered whole", status == 200 and body.endswith(b"GET /lookup/a 0"), body)
+    checks.true("with the worker's seal", fields["Response-Seal"].endswith(".k1"))
+    status, _, body = caller.call("k2", "/order/", body=b"x" * 70000)
+    checks.true("a call that may run once is answered, on the same connection", status == 200 and body.endswith(b" 70000"), body)
+    status, _, body = caller.call("k3", "/quote/1", Model="m", Token_Counts="1000,50", Prompt_Prefix="a1:800,b2:200", X_Events=5)
+    checks.equal("a stream arrives event by event", (status, body), (200, events("k3", 5)))
+    arrival = running.arrivals_of("k3")[0]["headers"]
+    checks.equal("the worker gets the account's name", arrival.get("tenant"), "weavers")
+    checks.true("and not its key", "authorization" not in arrival)
+    checks.true("and less time than the caller has", int(arrival["deadline-milliseconds"]) <= 8000)
+    status, _, _ = caller.call("k4", "/open/1", method="GET", key=None, Tenant="forged", Hold="x")
+    arrival = running.arrivals_of("k4")[0]["headers"]
+    checks.equal("a public route needs no key", status, 200)
+    checks.true("what only a router may set is dropped", "tenant" not in arrival and "hold" not in arrival)
+
+
+def check_refusals(checks, running, router):
+    caller = Caller(router)
+    checks.equal("an unknown key is refused", caller.call("r1", "/lookup/1", key="wrong")[0], 401)
+    checks.equal("an unknown path is refused", Caller(router).call("r2", "/nowhere/1")[0], 404)
+    head = b"POST /order/1 HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer key-weavers\r\nAttempt-Id: %s\r\n"
+    hidden = b"POST /order/2 HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer key-weavers\r\nAttempt-Id: hidden\r\n\r\n"
+    for number, framing in enumerate((b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", b"Transfer-Encoding: xchunked\r\n",
+                                      b"Content-Length: 5\r\nContent-Length: 60\r\n", b"Content-Length: +5\r\n",
+                                      b"Transfer-Encoding: identity, chunked\r\n", b"Host: other\r\n")):
+        identity = b"smuggle%d" % number
+        answer = raw_exchange(router, head % identity + framing + b"\r\n0\r\n\r\n" + hidden, timeout=1)
+        checks.true(f"an unclear frame is refused ({framing.split(b':')[0].decode()} {number})", answer.startswith(b"HTTP/1.1 400"),
+                    answer[:40])
+    checks.equal("nothing smuggled reaches a worker", running.arrivals_of("hidden"), [])
+
+
+def check_faults(checks, running, router):
+    for fault, path, status, runs in (("refuse", "/order/1", 200, 1), ("fail", "/lookup/1", 200, 2),
+                                      ("fail", "/order/1", 500, 1), ("foreign", "/order/1", 200, 1), ("extra", "/order/1", 200, 1),
+                                      ("close-ended", "/order/1", 200, 1), ("truncate", "/order/1", 502, 1),
+                                      ("truncate", "/lookup/1", 200, 2), ("unsealed", "/order/1", 502, 1),
+                                      ("refuse", "/quote/1", 200, 1), ("truncate", "/quote/1", 200, 1),
+                                      ("misdirect", "/order/1", 200, 1)):
+        identity = f"{fault}-{path.split('/')[1]}"
+        extra = {"X_Events": 8} if path == "/quote/1" else {}
+        found, _, body = Caller(router).call(identity, path, X_Fault=fault, **extra)
+        checks.equal(f"{identity}: status", found, status)
+        checks.equal(f"{identity}: runs", len(running.runs_of(identity)), runs)
+        if identity == "truncate-quote":
+            checks.equal("a stream that breaks off does not look whole", body, None)
+        elif status == 200 and path != "/quote/1":
+            checks.true(f"{identity}: the answer is its own", b"not yours" not in body and b"/1 0" in body, body)
+        found, _, body = Caller(router).call(identity + "-next", path.replace("quote", "lookup"))
+        checks.true(f"{identity}: the next call gets its own answer", found == 200 and b"not yours" not in body, body)
+    for fault in ("inside", "truncate"):
+        status, fields, body = Caller(router).call(f"plan-{fault}", "/plan/1", X_Events=9, X_Fault=fault)
+        checks.equal(f"a stream that breaks off ({fault}) goes on elsewhere, each event once", (status, body),
+                     (200, events(f"plan-{fault}", 9)))
+        runs = running.runs_of(f"plan-{fault}")
+        checks.true("at two workers, under the first one's seal", len(set(runs)) == 2 and fields["Response-Seal"].startswith(runs[0]) or
+                    fields["Response-Seal"].split(".")[0] in runs, runs)
+
+
+def check_leaving_callers(checks, running, router):
+    for name, extra in (("leaver", b""), ("pipeliner", b"GET /lookup/9 HTTP/1.1\r\n")):
+        caller = Caller(router)
+        caller.send(name, "/quote/1", X_Events=200, X_Pause_Ms=20)
+        time.sleep(0.3)
+        caller.connection.sock.sendall(extra)
+        time.sleep(0.1)
+        caller.close()
+        left = time.monotonic()
+        time.sleep(1)
+        seen = [running.seen(worker)["left"].get(name) for worker in running.workers]
+        noticed = [at - left for at in seen if at is not None]
+        checks.true(f"a {name}'s run is given up within half a second", noticed and noticed[0] < 0.5, noticed)
+
+
+def check_endpoints(checks, running, router):
+    running.announce("plain0", state="draining")
+    time.sleep(2)
+    for number in range(6):
+        Caller(router).call(f"drained{number}", "/lookup/1")
+    arrivals = [arrival["id"] for arrival in running.seen("plain0")["arrivals"]]
+    checks.true("a draining worker gets nothing after two seconds", not any(one.startswith("drained") for one in arrivals))
+    running.announce("plain0", state="ready", born=2)
+    running.store("put", b"\xff no entry", key="servers/broken")
+    time.sleep(1.5)
+    checks.equal("an entry that cannot be read does no harm", Caller(router).call("after-broken", "/lookup/1")[0], 200)
+    connections = sum(running.seen(name)["connections"] for name in running.workers)
+    caller = Caller(router)
+    for number in range(20):
+        caller.call(f"kept{number}", "/lookup/1", method="GET")
+    # Reading the counts takes a connection to each worker, twice.
+    made = sum(running.seen(name)["connections"] for name in running.workers) - connections - len(running.workers)
+    checks.at_most("connections to workers are kept for further calls", made, 2)
+
+
+def check_store(checks, running, router):
+    running.keys["builders"] = []
+    running.publish_routes()
+    time.sleep(2)
+    checks.equal("a key that was taken away is refused", Caller(router).call("revoked", "/lookup/1", key="key-builders")[0], 401)
+    checks.equal("others go on", Caller(router).call("kept-key", "/lookup/1")[0], 200)
+    running.store("mode", down="yes")
+    time.sleep(3)
+    checks.equal("without the store, callers are served for a while", Caller(router).call("outage1", "/lookup/1")[0], 200)
+    time.sleep(2.2)
+    checks.true("a router that cannot confirm its keys is not ready", not running.is_ready(router))
+    status, fields, _ = Caller(router).call("outage2", "/lookup/1")
+    checks.true("and refuses keys, saying when to come back", status == 503 and float(fields["Retry-After"]) > 0, status)
+    checks.equal("a refused call did not reach a worker", running.arrivals_of("outage2"), [])
+    checks.equal("public routes go on", Caller(router).call("outage3", "/open/1", key=None)[0], 200)
+    running.store("mode")
+    running.wait_ready(router, timeout=3)
+    checks.equal("with the store back, keys are accepted again", Caller(router).call("outage4", "/lookup/1")[0], 200)
+
+
+def check_reload_and_shutdown(checks, running, router):
+    stream = in_background(lambda: Caller(router).call("through", "/quote/1", X_Events=100, X_Pause_Ms=40))
+    time.sleep(0.5)
+    running.hang_up(router)
+    time.sleep(0.5)
+    checks.true("a router goes on after it was told to reload", router.process.poll() is None)
+    checks.true("and says so", "settings: reloaded" in running.log_of(router.name))
+    running.terminate(router)
+    time.sleep(0.3)
+    checks.true("a router that is told to stop is not ready", not running.is_ready(router))
+    checks.equal("it serves what still comes", Caller(router).call("late", "/lookup/1")[0], 200)
+    status, _, body = stream()
+    checks.equal("a stream that runs is finished", (status, body), (200, events("through", 100)))
+    checks.equal("a shutdown ends with code 0", router.process.wait(20), 0)
+
+
+def main():
+    checks = Checks("platform path")
+    with platform_fleet.PlatformFleet() as running:
+        router, other = running.routers
+        check_kinds(checks, running, router)
+        check_refusals(checks, running, router)
+        check_faults(checks, running, router)
+        check_leaving_callers(checks, running, router)
+        check_endpoints(checks, running, router)
+        check_store(checks, running, router)
+        checks.true("routers have heard each other", f"fleet: heard {other.name}" in running.log_of(router.name))
+        check_reload_and_shutdown(checks, running, router)
+        checks.equal("the other router goes on", Caller(other).call("other", "/lookup/1")[0], 200)
+    return checks.conclude()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/standins/platform_store.py
@@ -0,0 +1,88 @@
+#!/usr/bin/env python3
+"""Stand-in for the users' platform's store, as far as a router reads it: `GET /-/kv-range` over kept connections, in pages.
+
+POST /control/put?key=K writes the body as the item's value, POST /control/delete?key=K removes it, POST /control/mode
+?down=yes|no&slow-ms=T&status=CODE makes the store silent, slow, or answer every read with a status. GET /control/counts
+gives the reads so far.
+"""
+
+import argparse
+import asyncio
+import base64
+import json
+import urllib.parse
+
+from http_server import Request, read_request
+
+PAGE = 5
+
+
+class Store:
+    def __init__(self):
+        self.items = {}
+        self.revision = 1
+        self.down = False
+        self.slow_seconds = 0.0
+        self.status = 200
+        self.reads = 0
+
+    def page(self, prefix, after):
+        keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+        rows = [{"key": key, "value": base64.b64encode(self.items[key][0]).decode(), "revision": self.items[key][1],
+                 "created": self.items[key][1], "lease": 0} for key in keys[:PAGE]]
+        return {"items": rows, "truncated": len(keys) > PAGE, "store_revision": self.revision}
+
+    async def read(self, request: Request):
+        """Status and body of a read; None where it is never answered."""
+        self.reads += 1
+        await asyncio.sleep(self.slow_seconds)
+        if self.down:
+            return None
+        if self.status != 200:
+            return self.status, b"{}"
+        return 200, json.dumps(self.page(request.query.get("path_prefix", ""), request.query.get("after", ""))).encode()
+
+    def control(self, request: Request):
+        if request.path == "/control/put":
+            self.revision += 1
+            self.items[request.query["key"]] = (request.body, self.revision)
+        elif request.path == "/control/delete":
+            self.revision += 1
+            self.items.pop(request.query["key"], None)
+        elif request.path == "/control/mode":
+            self.down = request.query.get("down", "no") == "yes"
+            self.slow_seconds = float(request.query.get("slow-ms", "0")) / 1000
+            self.status = int(request.query.get("status", "200"))
+        return 200, json.dumps({"reads": self.reads}).encode()
+
+    async def connection(self, reader, writer):
+        try:
+            while True:
+                request = await read_request(reader)
+                if request.path == "/-/kv-range":
+                    answer = await self.read(request)
+                else:
+                    answer = self.control(request)
+                if answer is None:
+                    await asyncio.Event().wait()
+                status, body = answer
+                writer.write(f"HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+                             .encode() + body)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+            pass
+        finally:
+            writer.close()
+
+
+async def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    arguments = parser.parse_args()
+    server = await asyncio.start_server(Store().connection, "127.0.0.1", arguments.port)
+    async with server:
+        await server.serve_forever()
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- /dev/null
+++ b/tests/standins/platform_worker.py
@@ -0,0 +1,167 @@
+#!/usr/bin/env python3
+"""Stand-in for workers of the users' platform, plain ones and model engines, on kept connections.
+
+A request says in fields of its own what the worker is to do: `X-Events` gives the number of events of a stream, `X-Pause-Ms`
+the time before each event or before a plain answer, `X-Fault` a fault that strikes the first arrival of each request:
+
+refuse (503 that says it did not run), misdirect (421), fail (500), foreign (another request's answer first), extra (another
+answer behind), close-ended (no length), truncate (the connection is reset midway), inside (the stream breaks off inside an
+event), mute (no answer), unsealed (a success without its seal), early (an answer before the body is read).
+
+GET /control/seen gives what arrived, ran and was closed by the caller, by port.
+"""
+
+import argparse
+import asyncio
+import json
+import socket
+import struct
+import time
+from dataclasses import dataclass, field
+
+from http_server import read_request
+
+
+@dataclass
+class Seen:
+    arrivals: list = field(default_factory=list)
+    runs: list = field(default_factory=list)
+    left: dict = field(default_factory=dict)
+    connections: int = 0
+
+
+class Worker:
+    def __init__(self, name, port, first_arrivals):
+        self.name = name
+        self.port = port
+        self.seen = Seen()
+        # Requests that have arrived at any worker: a fault strikes the first arrival alone.
+        self.first_arrivals = first_arrivals
+
+    async def connection(self, reader, writer):
+        self.seen.connections += 1
+        try:
+            while True:
+                request = await read_request(reader)
+                if request.path == "/control/seen":
+                    await self.control(writer)
+                elif not await self.serve(request, reader, writer):
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+            pass
+        finally:
+            writer.close()
+
+    async def control(self, writer):
+        body = json.dumps({"arrivals": self.seen.arrivals, "runs": self.seen.runs, "left": self.seen.left,
+                           "connections": self.seen.connections}).encode()
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+        await writer.drain()
+
+    def head(self, identity, status=200, extra="", sealed=True):
+        seal = f"Response-Seal: {self.name}.{identity}\r\n" if sealed else ""
+        return (f"HTTP/1.1 {status} Status\r\nAttempt-Id: {identity}\r\n{seal}Server-Load: 1,0,8\r\nKeep-Alive: timeout=10\r\n"
+                f"{extra}")
+
+    def whole(self, identity, body, status=200, extra="", sealed=True):
+        return self.head(identity, status, f"{extra}Content-Length: {len(body)}\r\n\r\n", sealed).encode() + body
+
+    async def serve(self, request, reader, writer):
+        """Serves one request; whether the connection may serve another one."""
+        identity = request.headers.get("attempt-id", "")
+        fault = request.headers.get("x-fault", "")
+        if identity in self.first_arrivals:
+            fault = ""
+        self.first_arrivals.add(identity)
+        self.seen.arrivals.append({"id": identity, "at": time.monotonic(), "path": request.path, "method": request.method,
+                                   "body": len(request.body), "headers": request.headers})
+        if request.headers.get("expected-instance") != self.name or fault == "misdirect":
+            writer.write(f"HTTP/1.1 421 Misdirected\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n".encode())
+            return True
+        if fault == "refuse":
+            writer.write(self.whole(identity, b"", 503, "Not-Executed: 1\r\n", sealed=False))
+            return True
+        self.seen.runs.append(identity)
+        if fault == "mute":
+            await reader.read()
+            return False
+        try:
+            if "x-events" in request.headers:
+                return await self.stream(request, identity, fault, reader, writer)
+            return await self.answer(request, identity, fault, writer)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.seen.left[identity] = time.monotonic()
+            raise
+
+    async def answer(self, request, identity, fault, writer):
+        await asyncio.sleep(float(request.headers.get("x-pause-ms", "0")) / 1000)
+        body = f"{self.name} {request.method} {request.path} {len(request.body)}".encode()
+        if fault == "fail":
+            writer.write(self.whole(identity, b"failed", 500))
+        elif fault == "foreign":
+            writer.write(self.whole("somebody-else", b"not yours") + self.whole(identity, body))
+        elif fault == "extra":
+            writer.write(self.whole(identity, body) + self.whole("somebody-else", b"not yours"))
+        elif fault == "unsealed":
+            writer.write(self.whole(identity, body, sealed=False))
+        elif fault == "close-ended":
+            writer.write(self.head(identity, extra="Connection: close\r\n\r\n").encode() + body)
+            await writer.drain()
+            return False
+        elif fault == "truncate":
+            writer.write(self.whole(identity, body)[:-4])
+            await writer.drain()
+            reset(writer)
+            return False
+        else:
+            writer.write(self.whole(identity, body))
+        await writer.drain()
+        return True
+
+    async def stream(self, request, identity, fault, reader, writer):
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        last = int(request.headers["x-events"])
+        pause = float(request.headers.get("x-pause-ms", "1")) / 1000
+        gone = asyncio.ensure_future(reader.read(1))
+        writer.write(self.head(identity, extra="Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
+        for number in range(first, last + 1):
+            done, _ = await asyncio.wait({gone}, timeout=pause)
+            if done and not gone.result():
+                self.seen.left[identity] = time.monotonic()
+                return False
+            event = f"id: {number}\ndata: {identity} event {number}\n\n".encode()
+            if fault in ("inside", "truncate") and number == (first + last) // 2:
+                half = event[: len(event) // 2] if fault == "inside" else event
+                writer.write(f"{len(half):x}\r\n".encode() + half + b"\r\n")
+                await writer.drain()
+                reset(writer)
+                return False
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        gone.cancel()
+        return True
+
+
+def reset(writer):
+    """Ends the connection by a reset."""
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--workers", required=True, help="NAME:PORT of each worker, separated by commas")
+    arguments = parser.parse_args()
+    first_arrivals = set()
+    servers = []
+    for word in arguments.workers.split(","):
+        name, port = word.rsplit(":", 1)
+        worker = Worker(name, int(port), first_arrivals)
+        servers.append(await asyncio.start_server(worker.connection, "127.0.0.1", int(port), backlog=512))
+    await asyncio.gather(*(server.serve_forever() for server in servers))
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
