Accept callers in batches, notice that the traffic is behind, and beat once for all

One tenant sent 1,250 requests a second to one router, each on a connection of its own, and the duty accepted one connection in each of its turns.

Ruled out: the decisions (first bytes came 100 to 300 ms after a request had reached them), lost beats.

Change: connections are accepted in batches up to a limit; a request is refused at once while the duty's ticks are late; a caller's departure is looked for before its request goes to the decisions; a beat is encoded once for all peers and its period grows with the fleet; a placement is worked out once; refusals have a twentieth of the log's lines.

--- a/src/kumquatbeam/controllers/command.hpp
+++ b/src/kumquatbeam/controllers/command.hpp
@@ -149,8 +149,14 @@
     peer_message message;
 };
 
+/// Sends one beat to several peers.
+struct send_beat {
+    std::vector<entry_vm_id> to;
+    fleet_beat beat;
+};
+
 /// Everything that the peers duty is told.
-using peer_command = std::variant<set_peers, reset_peers, finish_peers, send_to_peer>;
+using peer_command = std::variant<set_peers, reset_peers, finish_peers, send_to_peer, send_beat>;
 
 /// Answers an operator's query.
 struct status_reply {
--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -233,7 +233,11 @@
 bool dispatch_controller::start(running_call call, decision_context& context)
 {
     auto* pool = poolOf(call.context);
-    const auto choice = pool ? choose(call.context, call.before.tried, context.now) : std::nullopt;
+    if (!pool)
+        return false;
+    // The filter has just found a place for the first attempt.
+    const auto choice
+        = call.before.made == 0 ? call.context.place : choose(call.context, call.before.tried, context.now);
     if (!choice)
         return false;
     const auto& request = call.context;
--- a/src/kumquatbeam/controllers/fleet_controller.cpp
+++ b/src/kumquatbeam/controllers/fleet_controller.cpp
@@ -13,6 +13,14 @@
         return { "seed " + address };
     }
 
+    /// Time between two beats in a fleet of this size: what a router hears from all the others stays the same.
+    std::chrono::milliseconds periodFor(std::size_t others)
+    {
+        constexpr std::chrono::milliseconds periodForEach { 17 };
+        return std::clamp(periodForEach * static_cast<std::int64_t>(others), fleet_controller::shortestPeriod,
+            fleet_controller::longestPeriod);
+    }
+
 } // namespace
 
 fleet_controller::fleet_controller(const router_settings& settings, incarnation life, std::vector<std::string> seeds)
@@ -140,7 +148,7 @@
 void fleet_controller::expire(decision_context& context)
 {
     for (auto& [id, known] : m_members) {
-        if (!known.isLoadCounted || context.now < known.heardAt + loadLifetime)
+        if (!known.isLoadCounted || context.now < known.heardAt + periodFor(m_members.size()) * beatsForSilence)
             continue;
         countLoad(known, -1);
         context.log.changed({ name(), "silent", id.value });
@@ -153,17 +161,17 @@
 
 void fleet_controller::sendBeats(decision_context& context)
 {
-    m_nextBeat = context.now + beatPeriod;
+    m_nextBeat = context.now + periodFor(m_members.size());
     if (std::exchange(m_havePeersChanged, false))
         tellPeers(context);
-    const auto beat = makeBeat(context.now);
-    const auto send = [&](const entry_vm_id& to) { context.commands.send(peer_command { send_to_peer { to, beat } }); };
+    send_beat command { .beat = makeBeat(context.now) };
     for (const auto& [id, known] : m_members)
-        send(id);
+        command.to.push_back(id);
     for (const auto& seed : m_seeds) {
         if (!isKnownAddress(seed))
-            send(nameOfSeed(seed));
+            command.to.push_back(nameOfSeed(seed));
     }
+    context.commands.send(peer_command { std::move(command) });
 }
 
 void fleet_controller::tellPeers(decision_context& context) const
@@ -186,9 +194,12 @@
         .address = m_settings.peerAddress,
         .sequence = ++m_sequence,
         .isLeaving = m_isLeaving };
-    for (const auto& [id, known] : m_members) {
-        if (known.isLoadCounted)
-            beat.known.push_back({ id, known.address });
+    // Who belongs to the fleet changes seldom, so most beats leave it out.
+    if (m_sequence % beatsForMembers == 1) {
+        for (const auto& [id, known] : m_members) {
+            if (known.isLoadCounted)
+                beat.known.push_back({ id, known.address });
+        }
     }
     if (m_source)
         m_source->addLoad(beat, now);
--- a/src/kumquatbeam/controllers/fleet_controller.hpp
+++ b/src/kumquatbeam/controllers/fleet_controller.hpp
@@ -28,11 +28,16 @@
 /// it is still told for a while, since it may just be cut off.
 class fleet_controller final : public controller {
 public:
-    /// Time between two beats of one router.
-    static constexpr std::chrono::milliseconds beatPeriod { 150 };
+    /// @{ Bounds of the time between two beats of one router; it grows with the fleet.
+    static constexpr std::chrono::milliseconds shortestPeriod { 150 };
+    static constexpr std::chrono::milliseconds longestPeriod { 1000 };
+    /// @}
 
-    /// Silence after which a router's load is not believed any more: a few lost beats.
-    static constexpr std::chrono::milliseconds loadLifetime { 700 };
+    /// Periods of silence after which a router's load is not believed any more: a few lost beats.
+    static constexpr int beatsForSilence = 5;
+
+    /// One in this many beats names the routers that its sender has heard.
+    static constexpr std::uint64_t beatsForMembers = 5;
 
     /// Silence after which a router is neither told nor counted any more. Longer than a cut between failure domains.
     static constexpr std::chrono::seconds memoryOfSilent { 60 };
--- a/src/kumquatbeam/decisions/placement/placement_strategy.hpp
+++ b/src/kumquatbeam/decisions/placement/placement_strategy.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kumquatbeam/types/ids.hpp"
+#include "kumquatbeam/types/placement.hpp"
 #include "kumquatbeam/types/prompt.hpp"
 #include "kumquatbeam/types/time.hpp"
 #include "kumquatbeam/types/units.hpp"
@@ -44,18 +45,6 @@
     std::chrono::microseconds waitLimit { 0 };
 };
 
-/// Where a call goes.
-struct placement {
-    endpoint_id endpoint;
-    /// Prompt tokens that the endpoint has to read, as far as is known.
-    token_count toRead;
-    /// Time until the endpoint turns to the call, as far as is known.
-    std::chrono::microseconds wait { 0 };
-    std::string_view reason;
-    endpoint_id runnerUp {};
-    std::string_view runnerUpReason {};
-};
-
 /// Picks the endpoint of a pool that a call goes to. One object for each pool.
 class placement_strategy {
 public:
--- a/src/kumquatbeam/duties/beats_duty.cpp
+++ b/src/kumquatbeam/duties/beats_duty.cpp
@@ -50,7 +50,7 @@
 {
     const event_handlers handlers {
         [&](const set_peers& peers) { replacePeers(peers); },
-        [&](const send_to_peer& message) { send(message); },
+        [&](const send_beat& command) { send(command); },
         [&](const finish_peers&) { m_links.decisions->post(peers_finished {}); },
     };
     std::visit(handlers, command);
@@ -67,19 +67,21 @@
     }
 }
 
-void beats_duty::send(const send_to_peer& message)
+void beats_duty::send(const send_beat& command)
 {
-    const auto peer = m_peers.find(message.to);
-    if (peer == m_peers.end())
-        return;
-    const auto bytes = encodeFrame(message.message, clock::now());
-    boost::system::error_code error;
-    m_socket.send_to(asio::buffer(bytes), peer->second, 0, error);
-    // A beat that cannot go out now is as good as lost; the next one follows.
-    if (error)
-        return;
-    m_links.traffic->bytesSent += bytes.size();
-    ++m_links.traffic->framesSent;
+    const auto bytes = encodeFrame(command.beat, clock::now());
+    for (const auto& to : command.to) {
+        const auto peer = m_peers.find(to);
+        if (peer == m_peers.end())
+            continue;
+        boost::system::error_code error;
+        m_socket.send_to(asio::buffer(bytes), peer->second, 0, error);
+        // A beat that cannot go out now is as good as lost; the next one follows.
+        if (error)
+            continue;
+        m_links.traffic->bytesSent += bytes.size();
+        ++m_links.traffic->framesSent;
+    }
 }
 
 void beats_duty::receive()
--- a/src/kumquatbeam/duties/beats_duty.hpp
+++ b/src/kumquatbeam/duties/beats_duty.hpp
@@ -31,7 +31,7 @@
 
     void handle(peer_command);
     void replacePeers(const set_peers&);
-    void send(const send_to_peer&);
+    void send(const send_beat&);
     void receive();
     void take(std::size_t size);
 
--- a/src/kumquatbeam/duties/callers_duty.cpp
+++ b/src/kumquatbeam/duties/callers_duty.cpp
@@ -16,6 +16,9 @@
     /// Longest time for which a caller may leave bytes unacknowledged, or its window closed.
     constexpr std::chrono::seconds unacknowledgedLimit { 10 };
 
+    /// Callers that are let in at once before others get their turn.
+    constexpr int acceptedAtOnce = 128;
+
 } // namespace
 
 callers_duty::callers_duty(
@@ -43,9 +46,12 @@
 
 void callers_duty::start()
 {
-    accept(m_acceptor);
-    if (m_readinessAcceptor.is_open())
-        accept(m_readinessAcceptor);
+    for (auto* acceptor : { &m_acceptor, &m_readinessAcceptor }) {
+        if (!acceptor->is_open())
+            continue;
+        acceptor->non_blocking(true);
+        accept(*acceptor);
+    }
     m_arrivals.start();
     m_duty.start([this](caller_command command) { handle(std::move(command)); });
 }
@@ -66,6 +72,9 @@
 
 bool callers_duty::submit(request_id id, call_request call)
 {
+    // A request that is taken in now would reach an endpoint too late, and make all others later still.
+    if (m_arrivals.isBehind())
+        return false;
     return m_links.decisions->tryPost(request_arrived { id, std::make_shared<const call_request>(std::move(call)) });
 }
 
@@ -82,6 +91,8 @@
 void callers_duty::end(caller_session& session)
 {
     m_sessions.erase(&session);
+    if (m_acceptor.is_open() && std::exchange(m_isFull, false))
+        accept(m_acceptor);
     reportWhenFinished();
 }
 
@@ -90,12 +101,29 @@
     acceptor.async_accept([this, &acceptor](boost::system::error_code error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted || !acceptor.is_open())
             return;
-        if (!error)
+        if (!error) {
             begin(std::move(socket));
-        accept(acceptor);
+            acceptQueued(acceptor);
+        }
+        if (hasRoom() || &acceptor == &m_readinessAcceptor)
+            accept(acceptor);
+        else
+            m_isFull = true;
     });
 }
 
+void callers_duty::acceptQueued(asio::ip::tcp::acceptor& acceptor)
+{
+    // One turn of a busy duty takes long, and callers that are let in one by one would wait for as many turns.
+    for (int accepted = 0; accepted < acceptedAtOnce && hasRoom(); ++accepted) {
+        boost::system::error_code error;
+        auto socket = acceptor.accept(error);
+        if (error)
+            return;
+        begin(std::move(socket));
+    }
+}
+
 void callers_duty::begin(asio::ip::tcp::socket socket)
 {
     watchForSilence(socket, unacknowledgedLimit);
@@ -109,7 +137,6 @@
     // Closing the listening socket would reset the connections that the kernel has queued: these callers get a refusal
     // instead.
     boost::system::error_code error;
-    m_acceptor.non_blocking(true, error);
     while (!error) {
         auto socket = m_acceptor.accept(error);
         if (!error)
--- a/src/kumquatbeam/duties/callers_duty.hpp
+++ b/src/kumquatbeam/duties/callers_duty.hpp
@@ -41,6 +41,8 @@
     const caller_limits& limits() const override { return m_limits; }
 
     void accept(boost::asio::ip::tcp::acceptor&);
+    bool hasRoom() const { return m_sessions.size() < static_cast<std::size_t>(m_settings.callerLimit); }
+    void acceptQueued(boost::asio::ip::tcp::acceptor&);
     void begin(boost::asio::ip::tcp::socket);
     void stopAccepting();
     void finish();
@@ -59,6 +61,8 @@
     /// Every open connection, by address.
     std::unordered_map<caller_session*, std::weak_ptr<caller_session>> m_sessions;
     std::uint64_t m_lastRequest = 0;
+    /// Whether accepting has stopped for want of room.
+    bool m_isFull = false;
     bool m_isReady = false;
     bool m_isDraining = false;
     bool m_isFinishing = false;
--- a/src/kumquatbeam/duties/peers_duty.cpp
+++ b/src/kumquatbeam/duties/peers_duty.cpp
@@ -118,6 +118,12 @@
             if (session != m_sessions.end())
                 session->second->send(message.message);
         },
+        [&](send_beat&& command) {
+            for (const auto& to : command.to) {
+                if (const auto session = m_sessions.find(to); session != m_sessions.end())
+                    session->second->send(command.beat);
+            }
+        },
     };
     std::visit(handlers, std::move(command));
 }
--- a/src/kumquatbeam/filters/room_filter.cpp
+++ b/src/kumquatbeam/filters/room_filter.cpp
@@ -30,7 +30,8 @@
 
 std::optional<call_reply> room_filter::apply(request_context& context, time_point now) const
 {
-    if (m_dispatch.choose(context, now))
+    context.place = m_dispatch.choose(context, now);
+    if (context.place)
         return std::nullopt;
     const auto& pool = context.matched->pool;
     const auto kind = m_dispatch.hasUsable(pool, now) ? failure_kind::PoolBusy : failure_kind::NoEndpoint;
--- a/src/kumquatbeam/runtime/arrival_clock.hpp
+++ b/src/kumquatbeam/runtime/arrival_clock.hpp
@@ -2,6 +2,7 @@
 
 #include "kumquatbeam/types/time.hpp"
 
+#include <algorithm>
 #include <chrono>
 
 namespace kumquatbeam {
@@ -15,6 +16,13 @@
 /// Time after a pause in which what is read may still have lain in the socket's buffer during the pause.
 inline constexpr std::chrono::milliseconds pauseAftermath { 1000 };
 
+/// Longest time for which bytes lie in a socket while a duty that is behind works through what came before them.
+inline constexpr std::chrono::milliseconds longestBacklog { 2000 };
+
+/// Delay of a tick from which on the duty is behind with its work: a call goes through several turns of it, and its
+/// first answer is wanted within a few hundred milliseconds.
+inline constexpr std::chrono::milliseconds longestDelay { 80 };
+
 /// Knows how long ago bytes that are read now may have arrived. A process that was paused finds them in its sockets,
 /// and the times left that they state count from before the pause.
 class arrival_clock {
@@ -30,9 +38,16 @@
     void tick(time_point now)
     {
         noticePause(now);
+        m_delay = now - m_lastTick - pauseTickPeriod;
         m_lastTick = now;
     }
 
+    /// Whether the duty takes much longer for one turn of its work than it should: more comes than it can do.
+    bool isBehind(time_point now) const
+    {
+        return m_delay > longestDelay || now - m_lastTick - pauseTickPeriod > longestDelay;
+    }
+
     /// The time after which bytes that are read now have arrived.
     time_point earliestArrival(time_point now)
     {
@@ -46,12 +61,13 @@
         if (now - m_lastTick < shortestPause)
             return;
         const bool isFirst = m_lastTick >= m_suspectUntil;
-        if (isFirst)
-            m_arrivedAfter = m_lastTick;
+        // Where one pause follows the other, what lay there during the first has been read meanwhile.
+        m_arrivedAfter = isFirst ? m_lastTick : std::max(m_arrivedAfter, m_lastTick - longestBacklog);
         m_suspectUntil = now + pauseAftermath;
     }
 
     time_point m_lastTick;
+    clock::duration m_delay {};
     time_point m_arrivedAfter;
     time_point m_suspectUntil;
 };
--- a/src/kumquatbeam/runtime/arrival_watch.hpp
+++ b/src/kumquatbeam/runtime/arrival_watch.hpp
@@ -30,6 +30,9 @@
     /// The time after which bytes that are read now have arrived.
     time_point earliestArrival() { return m_arrivals.earliestArrival(clock::now()); }
 
+    /// Whether the duty is behind with its work.
+    bool isBehind() const { return m_arrivals.isBehind(clock::now()); }
+
 private:
     deadline_timer m_timer;
     arrival_clock m_arrivals;
--- a/src/kumquatbeam/runtime/log_writer.cpp
+++ b/src/kumquatbeam/runtime/log_writer.cpp
@@ -12,6 +12,7 @@
 #include <boost/log/trivial.hpp>
 #include <boost/make_shared.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <iostream>
 #include <utility>
@@ -24,6 +25,9 @@
 
     constexpr std::size_t queuedLines = 8192;
 
+    /// One in this many of the lines of a second may be a refusal.
+    constexpr std::int64_t refusalPart = 20;
+
     using queued_sink = logging::sinks::asynchronous_sink<logging::sinks::text_ostream_backend,
         logging::sinks::bounded_fifo_queue<queuedLines, logging::sinks::drop_on_overflow>>;
 
@@ -69,7 +73,7 @@
 
 void log_writer::refused(const refusal_record& record)
 {
-    if (!takeLine())
+    if (!takeRefusalLine())
         return;
     BOOST_LOG_TRIVIAL(info) << record.decidedBy << ": refused request=" << record.request.value
                             << " id=" << record.label.value << " account=" << record.account.value
@@ -109,6 +113,7 @@
     if (now >= m_windowEnd) {
         m_windowEnd = now + std::chrono::seconds(1);
         m_linesLeft = m_linesASecond;
+        m_refusalsLeft = std::max<std::int64_t>(m_linesASecond / refusalPart, 1);
         if (const auto dropped = std::exchange(m_dropped, 0))
             BOOST_LOG_TRIVIAL(warning) << "log: dropped lines=" << dropped << " because=\"log-rate\"";
     }
@@ -120,6 +125,19 @@
     return true;
 }
 
+bool log_writer::takeRefusalLine()
+{
+    if (!takeLine())
+        return false;
+    if (m_refusalsLeft == 0) {
+        ++m_linesLeft;
+        ++m_dropped;
+        return false;
+    }
+    --m_refusalsLeft;
+    return true;
+}
+
 log_sink::log_sink(const router_settings& settings)
 {
     const auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
--- a/src/kumquatbeam/runtime/log_writer.hpp
+++ b/src/kumquatbeam/runtime/log_writer.hpp
@@ -8,8 +8,9 @@
 
 namespace kumquatbeam {
 
-/// Writes a line for each decision through Boost.Log, at most so many a second: a flood must not fill the log. What
-/// goes beyond is dropped, and the next second starts with a line that counts it. Used from one duty.
+/// Writes a line for each decision through Boost.Log, at most so many a second: a flood must not fill the log.
+/// Refusals, which a flood brings most of, have a smaller number of their own. What goes beyond is dropped, and the
+/// next second starts with a line that counts it. Used from one duty.
 class log_writer final : public decision_log {
 public:
     explicit log_writer(std::int64_t linesASecond);
@@ -23,10 +24,13 @@
 private:
     /// Whether one more line may go out in this second.
     bool takeLine();
+    /// The same for a refusal.
+    bool takeRefusalLine();
 
     std::int64_t m_linesASecond;
     time_point m_windowEnd = time_point::min();
     std::int64_t m_linesLeft = 0;
+    std::int64_t m_refusalsLeft = 0;
     std::int64_t m_dropped = 0;
 };
 
--- a/src/kumquatbeam/sessions/caller_session.cpp
+++ b/src/kumquatbeam/sessions/caller_session.cpp
@@ -22,6 +22,10 @@
 namespace {
 
     constexpr std::chrono::seconds writeTimeout { 60 };
+
+    /// When a caller may come back to a router that is behind with its work.
+    constexpr std::chrono::milliseconds overloadPause { 500 };
+
     constexpr std::chrono::seconds discardTimeout { 2 };
     constexpr std::size_t discardSize = 64 * 1024;
     constexpr unsigned http11 = 11;
@@ -192,9 +196,15 @@
         writeReply(notRun(failureOf(call.status()).value_or(failure { failure_kind::MalformedRequest })), false);
         return;
     }
+    // A router that is behind with its work may read what a caller sent who has left since.
+    if (!takePipelined()) {
+        closeConnection();
+        return;
+    }
     // Another delivery of the same order may be on its way, so a refusal here proves nothing about it.
     const failure overload { failure_kind::RingFull };
-    const auto refusal = call->ticket ? unknownOutcome(overload) : notRun(overload);
+    auto refusal = call->ticket ? unknownOutcome(overload) : notRun(overload);
+    refusal.retryAt = clock::now() + overloadPause;
     m_request = m_host.open(shared_from_this());
     if (!m_request || !m_host.submit(*m_request, std::move(*call))) {
         writeReply(refusal, m_keepAlive);
@@ -221,7 +231,8 @@
     // The next request may come before this one is answered. Its bytes are taken in, or the end of the connection
     // behind them would go unnoticed.
     beast::error_code error;
-    m_stream.socket().non_blocking(true, error);
+    if (!m_stream.socket().non_blocking())
+        m_stream.socket().non_blocking(true, error);
     const auto received = m_stream.socket().read_some(m_buffer.prepare(pipelinedPiece), error);
     if (error && error != asio::error::would_block)
         return false;
--- a/src/kumquatbeam/settings/router_settings.hpp
+++ b/src/kumquatbeam/settings/router_settings.hpp
@@ -43,6 +43,8 @@
     std::string strategy = "leased-quotas";
     std::int64_t requestLimit = 4000;
     std::int64_t bodyLimit = 1'048'576;
+    /// Connections of callers that are open at once; further callers wait in the system's queue.
+    std::int64_t callerLimit = 20'000;
     /// Time that the balancer is given to notice that the router is not ready any more.
     std::chrono::milliseconds drainNotice { 1000 };
     /// Time after which a shutdown no longer waits for calls in progress.
--- a/src/kumquatbeam/types/request_context.hpp
+++ b/src/kumquatbeam/types/request_context.hpp
@@ -2,6 +2,7 @@
 
 #include "kumquatbeam/types/call.hpp"
 #include "kumquatbeam/types/ids.hpp"
+#include "kumquatbeam/types/placement.hpp"
 #include "kumquatbeam/types/time.hpp"
 
 #include <memory>
@@ -59,6 +60,8 @@
     std::optional<matched_route> matched {};
     /// After this time the call must not be sent to an endpoint any more, whatever its deadline.
     time_point sendBefore = never;
+    /// Where a filter found room for the call.
+    std::optional<placement> place {};
 };
 
 } // namespace kumquatbeam
