--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -183,8 +183,8 @@
         endpoint_standing row {
             .endpoint = name, .key = wireKeyOf(name), .domain = announced.domain, .slots = announced.slots
         };
-        const auto before = std::find_if(
-            old.begin(), old.end(), [&](const endpoint_standing& known) { return known.endpoint == name; });
+        const auto before = std::find_if(old.begin(), old.end(),
+            [&wanted = row.endpoint](const endpoint_standing& known) { return known.endpoint == wanted; });
         if (before != old.end())
             row = *before;
         row.slots = announced.slots;
--- a/src/kumquatbeam/types/time.hpp
+++ b/src/kumquatbeam/types/time.hpp
@@ -12,7 +12,8 @@
     using period = duration::period;
     using time_point = std::chrono::time_point<clock>;
 
-    static constexpr bool is_steady = true;
+    /// The standard library asks for this name.
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
 
     static time_point now() noexcept;
 };
