--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -337,8 +337,9 @@
     }
     if (ended.outcome == attempt_outcome::Completed)
         pool.health.recordAnswer(ended.endpoint, now);
-    else if (problem == failure_kind::EndpointBroke || problem == failure_kind::EndpointUnreachable
-        || problem == failure_kind::EndpointTimedOut)
+    else if (problem == failure_kind::EndpointUnreachable)
+        pool.health.recordUnreachable(ended.endpoint, now);
+    else if (problem == failure_kind::EndpointBroke || problem == failure_kind::EndpointTimedOut)
         pool.health.recordFailure(ended.endpoint, now);
 }
 
--- a/src/kumquatbeam/decisions/endpoint_health.cpp
+++ b/src/kumquatbeam/decisions/endpoint_health.cpp
@@ -29,12 +29,22 @@
 }
 
 void endpoint_health::recordFailure(const endpoint_id& endpoint, time_point now)
+{
+    countFailures(endpoint, 1, now);
+}
+
+void endpoint_health::recordUnreachable(const endpoint_id& endpoint, time_point now)
+{
+    countFailures(endpoint, failuresOfUnreachable, now);
+}
+
+void endpoint_health::countFailures(const endpoint_id& endpoint, int failures, time_point now)
 {
     const auto found = m_records.find(endpoint);
     if (found == m_records.end())
         return;
     auto& row = found->second;
-    ++row.failedCalls;
+    row.failedCalls += failures;
     const bool isTrial = row.is == standing::Ejected && now >= row.returnsAt;
     if (isTrial || row.failedCalls >= failuresToEject)
         eject(row, now);
--- a/src/kumquatbeam/decisions/endpoint_health.hpp
+++ b/src/kumquatbeam/decisions/endpoint_health.hpp
@@ -31,9 +31,14 @@
     /// Keeps these endpoints and forgets all others.
     void setEndpoints(const std::set<endpoint_id>&);
 
+    /// Failures that an endpoint counts for when no connection to it could be made: two in a row eject it. One may be a
+    /// lost packet.
+    static constexpr int failuresOfUnreachable = 2;
+
     /// @{ Takes in the end of a call at the endpoint.
     void recordAnswer(const endpoint_id&, time_point now);
     void recordFailure(const endpoint_id&, time_point now);
+    void recordUnreachable(const endpoint_id&, time_point now);
     /// @}
 
     /// Takes in whether the endpoint answered a load probe. Probes fail a run of their own: a probe that is answered
@@ -65,6 +70,7 @@
         time_point forgivenAt = never;
     };
 
+    void countFailures(const endpoint_id&, int failures, time_point now);
     void eject(record&, time_point now);
     bool mayEjectOneMore() const;
 
--- a/src/kumquatbeam/duties/callers_duty.cpp
+++ b/src/kumquatbeam/duties/callers_duty.cpp
@@ -37,7 +37,7 @@
 absl::Status callers_duty::listen()
 {
     if (m_settings.readinessPort != 0) {
-        const auto status = listenOn(m_readinessAcceptor, m_settings.callerAddress, m_settings.readinessPort);
+        auto status = listenOn(m_readinessAcceptor, m_settings.callerAddress, m_settings.readinessPort);
         if (!status.ok())
             return status;
     }
--- a/tests/unit/endpoint_health.tests.cpp
+++ b/tests/unit/endpoint_health.tests.cpp
@@ -39,6 +39,18 @@
     CHECK(health.nextReturn(start) == start + endpoint_health::firstEjection);
 }
 
+TEST_CASE("Two connections in a row that cannot be made eject an endpoint, and one does not [endpoint_health]")
+{
+    auto health = healthOfFour();
+    health.recordUnreachable(first, start);
+    CHECK(health.admits(first, false, start));
+    health.recordAnswer(first, start);
+    health.recordUnreachable(first, start);
+    CHECK(health.admits(first, false, start));
+    health.recordUnreachable(first, start);
+    CHECK_FALSE(health.admits(first, false, start));
+}
+
 TEST_CASE("Unanswered load probes eject an endpoint too [endpoint_health]")
 {
     auto health = healthOfFour();
--- a/tests/unit/placement.tests.cpp
+++ b/tests/unit/placement.tests.cpp
@@ -17,6 +17,7 @@
 std::vector<endpoint_standing> engines(int count)
 {
     std::vector<endpoint_standing> rows;
+    rows.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index)
         rows.push_back({ .endpoint = { "engine" + std::to_string(index) }, .domain = north, .slots = { 48 } });
     return rows;
