--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -159,19 +159,20 @@
     std::erase_if(m_pools, [&](const auto& entry) { return !table->pools.contains(entry.first); });
     for (const auto& [id, description] : table->pools) {
         auto found = m_pools.find(id);
-        if (found == m_pools.end()) {
-            const shared_retry_budget::terms terms { m_bounds.retryRatio, m_bounds.retryAllowance,
-                m_bounds.retryWindow };
-            found = m_pools
-                        .emplace(id,
-                            dispatch_pool { makeStrategy(id), {}, {}, shared_retry_budget(terms),
-                                account_shares(m_fleet.ratesElsewhere()) })
-                        .first;
-        }
+        if (found == m_pools.end())
+            found = m_pools.emplace(id, makePool(id)).first;
         refreshPool(found->second, id);
     }
 }
 
+dispatch_controller::dispatch_pool dispatch_controller::makePool(const pool_id& id) const
+{
+    const shared_retry_budget::terms terms { m_bounds.retryRatio, m_bounds.retryAllowance, m_bounds.retryWindow };
+    dispatch_pool pool { .retries = shared_retry_budget(terms), .shares = account_shares(m_fleet.ratesElsewhere()) };
+    pool.strategy = makeStrategy(id);
+    return pool;
+}
+
 void dispatch_controller::refreshPool(dispatch_pool& pool, const pool_id& id)
 {
     pool.shares.setCapacity(static_cast<double>(m_routes.current()->tokensPerSecond));
--- a/src/kumquatbeam/controllers/dispatch_controller.hpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.hpp
@@ -63,15 +63,16 @@
     };
 
     struct dispatch_pool {
-        std::unique_ptr<placement_strategy> strategy;
-        std::vector<endpoint_standing> endpoints;
-        endpoint_health health;
+        std::unique_ptr<placement_strategy> strategy {};
+        std::vector<endpoint_standing> endpoints {};
+        endpoint_health health {};
         shared_retry_budget retries;
         account_shares shares;
     };
 
     void refreshPools();
     void takeLoadElsewhere();
+    dispatch_pool makePool(const pool_id&) const;
     void refreshPool(dispatch_pool&, const pool_id&);
     std::unique_ptr<placement_strategy> makeStrategy(const pool_id&) const;
     std::optional<placement> choose(const request_context&, const std::set<endpoint_id>& tried, time_point now) const;
