--- a/src/kumquatbeam/decisions/placement/prompt_homes.hpp
+++ b/src/kumquatbeam/decisions/placement/prompt_homes.hpp
@@ -36,8 +36,6 @@
     }
     void recordPlaced(const prompt_shape&, const endpoint_id&, time_point now) override;
 
-    void setRate(double tokensPerMillisecond) { m_rate = tokensPerMillisecond; }
-
 private:
     struct candidate {
         const endpoint_standing* row = nullptr;
