Split the pools of the dispatch from its calls

The dispatch controller held two subjects: calls in progress, and each pool's endpoints, load, health, shares and budget. The second is now dispatch_pool, beside it. The reading rate of an engine is a property of its standing, so that engines may differ; its value is what was in effect before.

Unit tests pass.

--- a/src/kumquatbeam/controllers/dispatch_controller.hpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.hpp
@@ -2,21 +2,16 @@
 
 #include "kumquatbeam/controllers/controller.hpp"
 #include "kumquatbeam/controllers/directory_controller.hpp"
+#include "kumquatbeam/controllers/dispatch_pool.hpp"
 #include "kumquatbeam/controllers/fleet_controller.hpp"
 #include "kumquatbeam/controllers/route_controller.hpp"
-#include "kumquatbeam/decisions/admission/account_shares.hpp"
 #include "kumquatbeam/decisions/attempt_policy.hpp"
-#include "kumquatbeam/decisions/endpoint_health.hpp"
-#include "kumquatbeam/decisions/placement/placement_strategy.hpp"
-#include "kumquatbeam/decisions/shared_retry_budget.hpp"
 #include "kumquatbeam/settings/route_bounds.hpp"
 
 #include <map>
-#include <memory>
 #include <optional>
 #include <set>
 #include <unordered_map>
-#include <vector>
 
 namespace kumquatbeam {
 
@@ -62,29 +57,13 @@
         bool isAbandoned = false;
     };
 
-    struct dispatch_pool {
-        std::unique_ptr<placement_strategy> strategy {};
-        std::vector<endpoint_standing> endpoints {};
-        endpoint_health health {};
-        shared_retry_budget retries;
-        account_shares shares;
-    };
-
     void refreshPools();
-    void takeLoadElsewhere();
-    dispatch_pool makePool(const pool_id&) const;
-    void refreshPool(dispatch_pool&, const pool_id&);
-    std::unique_ptr<placement_strategy> makeStrategy(const pool_id&) const;
-    std::optional<placement> choose(const request_context&, const std::set<endpoint_id>& tried, time_point now) const;
-    std::chrono::microseconds waitLimitOf(const request_context&, const dispatch_pool&, time_point now) const;
     void admit(const request_context&, decision_context&);
     void recordAsked(const request_context&, time_point now);
     bool start(running_call, decision_context&);
     void begin(request_id, time_point now);
     void abandon(request_id, decision_context&);
     void finishAttempt(const attempt_ended&, decision_context&);
-    bool isReplaced(const endpoint_id&, time_point now) const;
-    void recordHealth(dispatch_pool&, const attempt_ended&, time_point now);
     void settle(running_call, const attempt_ended&, decision_context&);
     attempt_facts factsOf(const running_call&, const attempt_ended&, time_point now) const;
     bool payForRepeat(const running_call&, const attempt_ended&, time_point now);
@@ -101,9 +80,6 @@
     const fleet_controller& m_fleet;
     std::map<pool_id, dispatch_pool> m_pools;
     std::unordered_map<request_id, running_call> m_running;
-    /// Endpoints at whose address another one has answered, and until when that is believed. The directory knows better
-    /// soon.
-    std::map<endpoint_id, time_point> m_replaced;
 };
 
 } // namespace kumquatbeam
--- /dev/null
+++ b/src/kumquatbeam/controllers/dispatch_pool.cpp
@@ -0,0 +1,159 @@
+#include "kumquatbeam/controllers/dispatch_pool.hpp"
+
+#include "kumquatbeam/decisions/admission/wait_terms.hpp"
+#include "kumquatbeam/decisions/placement/least_running.hpp"
+#include "kumquatbeam/decisions/placement/prompt_homes.hpp"
+#include "kumquatbeam/types/wire_key.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquatbeam {
+
+namespace {
+
+    /// Reading rate of an engine, in tokens a millisecond.
+    constexpr double defaultReadingRate = 50;
+
+    std::unique_ptr<placement_strategy> strategyFor(const routed_pool& pool)
+    {
+        if (pool.engine)
+            return std::make_unique<prompt_homes>();
+        return std::make_unique<least_running>();
+    }
+
+} // namespace
+
+dispatch_pool::dispatch_pool(
+    const routed_pool& pool, const shared_retry_budget::terms& terms, const fleet_controller& fleet)
+    : m_id(pool.id)
+    , m_fleet(fleet)
+    , m_strategy(strategyFor(pool))
+    , m_retries(terms)
+    , m_shares(fleet.ratesElsewhere())
+{
+}
+
+void dispatch_pool::refresh(const route_table& table, const std::map<endpoint_id, announced_endpoint>& announced)
+{
+    m_shares.setCapacity(static_cast<double>(table.tokensPerSecond));
+    auto old = std::exchange(m_endpoints, {});
+    std::set<endpoint_id> names;
+    for (const auto& [name, one] : announced) {
+        if (one.pool != m_id)
+            continue;
+        endpoint_standing row { .endpoint = name, .key = wireKeyOf(name), .domain = one.domain, .slots = one.slots };
+        const auto before = std::find_if(old.begin(), old.end(),
+            [&wanted = row.endpoint](const endpoint_standing& known) { return known.endpoint == wanted; });
+        if (before != old.end())
+            row = std::move(*before);
+        row.slots = one.slots;
+        row.isUsable = !one.isDraining;
+        names.insert(name);
+        m_endpoints.push_back(std::move(row));
+    }
+    for (auto& row : m_endpoints)
+        row.readingRate = defaultReadingRate;
+    m_health.setEndpoints(names);
+}
+
+void dispatch_pool::takeLoadElsewhere()
+{
+    for (auto& row : m_endpoints) {
+        const auto elsewhere = m_fleet.loadElsewhere(row.key);
+        row.runningElsewhere = elsewhere.running;
+        row.toReadElsewhere = elsewhere.toRead;
+    }
+}
+
+bool dispatch_pool::hasUsable(time_point now) const
+{
+    return std::any_of(
+        m_endpoints.begin(), m_endpoints.end(), [&](const endpoint_standing& row) { return mayUse(row, now); });
+}
+
+std::optional<placement> dispatch_pool::choose(const request_context& request, const failure_domain_id& self,
+    const std::set<endpoint_id>& tried, time_point now) const
+{
+    auto endpoints = m_endpoints;
+    for (auto& row : endpoints)
+        row.isUsable = mayUse(row, now) && !tried.contains(row.endpoint);
+    return m_strategy->place({ request.call->prompt, self, waitLimitOf(request, now) }, endpoints, now);
+}
+
+void dispatch_pool::recordAsked(const request_context& request, time_point now)
+{
+    if (!request.account.value.empty())
+        m_shares.recordAsked(request.account, request.call->prompt.cost(), now);
+}
+
+void dispatch_pool::recordAdmitted(const request_context& request, time_point now)
+{
+    m_retries.recordRequest(now);
+    if (!request.account.value.empty())
+        m_shares.recordAdmitted(request.account, request.call->prompt.cost(), now);
+}
+
+void dispatch_pool::recordPlaced(const prompt_shape& prompt, const placement& choice, time_point now)
+{
+    if (auto* row = find(choice.endpoint)) {
+        ++row->running;
+        row->toRead += choice.toRead;
+    }
+    m_strategy->recordPlaced(prompt, choice.endpoint, now);
+}
+
+void dispatch_pool::recordRead(const endpoint_id& endpoint, token_count read)
+{
+    if (auto* row = find(endpoint))
+        row->toRead -= read;
+}
+
+void dispatch_pool::recordEnded(const endpoint_id& endpoint, token_count unread)
+{
+    if (auto* row = find(endpoint)) {
+        --row->running;
+        row->toRead -= unread;
+    }
+}
+
+void dispatch_pool::recordOutcome(const attempt_ended& ended, time_point now)
+{
+    const auto problem = ended.problem ? ended.problem->kind : failure_kind::None;
+    if (problem == failure_kind::EndpointReplaced)
+        m_replaced[ended.endpoint] = now + replacedFor;
+    else if (ended.outcome == attempt_outcome::Completed)
+        m_health.recordAnswer(ended.endpoint, now);
+    else if (problem == failure_kind::EndpointUnreachable)
+        m_health.recordUnreachable(ended.endpoint, now);
+    else if (problem == failure_kind::EndpointBroke || problem == failure_kind::EndpointTimedOut)
+        m_health.recordFailure(ended.endpoint, now);
+}
+
+endpoint_standing* dispatch_pool::find(const endpoint_id& endpoint)
+{
+    const auto found = std::find_if(
+        m_endpoints.begin(), m_endpoints.end(), [&](const endpoint_standing& row) { return row.endpoint == endpoint; });
+    return found == m_endpoints.end() ? nullptr : &*found;
+}
+
+bool dispatch_pool::mayUse(const endpoint_standing& row, time_point now) const
+{
+    const auto replaced = m_replaced.find(row.endpoint);
+    const bool isReplaced = replaced != m_replaced.end() && now < replaced->second;
+    return row.isUsable && !isReplaced && m_health.admits(row.endpoint, row.running > 0, now);
+}
+
+std::chrono::microseconds dispatch_pool::waitLimitOf(const request_context& request, time_point now) const
+{
+    const auto objective = std::chrono::duration_cast<std::chrono::microseconds>(request.matched->route->objective);
+    const auto standing = request.account.value.empty() ? 0 : m_shares.standing(request.account, now);
+    std::chrono::microseconds waits { 0 };
+    for (const auto& row : m_endpoints)
+        waits += m_strategy->waitAt(row);
+    const auto engines = static_cast<double>(std::max<std::size_t>(m_endpoints.size(), 1));
+    const auto pressure = static_cast<double>(waits.count()) / engines / static_cast<double>(objective.count());
+    return std::chrono::duration_cast<std::chrono::microseconds>(objective * waitPartOf(standing, pressure));
+}
+
+} // namespace kumquatbeam
--- a/src/kumquatbeam/decisions/placement/placement_strategy.hpp
+++ b/src/kumquatbeam/decisions/placement/placement_strategy.hpp
@@ -21,6 +21,8 @@
     wire_key key;
     failure_domain_id domain;
     slot_count slots;
+    /// Prompt tokens that it reads in a millisecond; zero for plain services.
+    double readingRate = 0;
     /// Calls that this router has running there.
     std::int64_t running = 0;
     /// Prompt tokens that this router has sent there and that have not been answered yet.
--- a/src/kumquatbeam/decisions/placement/prompt_homes.cpp
+++ b/src/kumquatbeam/decisions/placement/prompt_homes.cpp
@@ -42,11 +42,6 @@
 
 } // namespace
 
-prompt_homes::prompt_homes(double tokensPerMillisecond)
-    : m_rate(tokensPerMillisecond)
-{
-}
-
 std::optional<placement> prompt_homes::place(
     const placement_call& call, std::span<const endpoint_standing> endpoints, time_point now) const
 {
@@ -96,11 +91,11 @@
     std::erase_if(m_keptUntil, [](const auto& entry) { return entry.second.empty(); });
 }
 
-std::chrono::microseconds prompt_homes::timeToRead(token_count tokens) const
+std::chrono::microseconds prompt_homes::timeToRead(const endpoint_standing& row, token_count tokens)
 {
     constexpr double microsecondsPerMillisecond = 1000;
     return std::chrono::microseconds(
-        static_cast<std::int64_t>(static_cast<double>(tokens.value) / m_rate * microsecondsPerMillisecond));
+        static_cast<std::int64_t>(static_cast<double>(tokens.value) / row.readingRate * microsecondsPerMillisecond));
 }
 
 prompt_homes::candidate prompt_homes::assess(
@@ -112,10 +107,10 @@
     const auto shared = call.prompt.sharedTokens();
     if (isKept)
         assessed.toRead -= std::min(shared, assessed.toRead);
-    assessed.wait = timeToRead(row.toReadInAll());
+    assessed.wait = timeToRead(row, row.toReadInAll());
     if (!isKept)
-        assessed.wait += timeToRead(shared);
-    assessed.readBy = timeToRead(row.toReadInAll() + assessed.toRead);
+        assessed.wait += timeToRead(row, shared);
+    assessed.readBy = timeToRead(row, row.toReadInAll() + assessed.toRead);
     return assessed;
 }
 
--- a/src/kumquatbeam/decisions/placement/prompt_homes.hpp
+++ b/src/kumquatbeam/decisions/placement/prompt_homes.hpp
@@ -24,15 +24,12 @@
     /// Time for which an engine is taken to keep what it has read.
     static constexpr std::chrono::seconds keptFor { 8 };
 
-    /// `tokensPerMillisecond` is the rate at which one engine reads prompts.
-    explicit prompt_homes(double tokensPerMillisecond);
-
     std::string_view name() const override { return "prompt-homes"; }
     std::optional<placement> place(
         const placement_call&, std::span<const endpoint_standing>, time_point now) const override;
     std::chrono::microseconds waitAt(const endpoint_standing& row) const override
     {
-        return timeToRead(row.toReadInAll());
+        return timeToRead(row, row.toReadInAll());
     }
     void recordPlaced(const prompt_shape&, const endpoint_id&, time_point now) override;
 
@@ -46,11 +43,10 @@
         std::chrono::microseconds readBy {};
     };
 
-    std::chrono::microseconds timeToRead(token_count) const;
+    static std::chrono::microseconds timeToRead(const endpoint_standing&, token_count);
     candidate assess(const placement_call&, const endpoint_standing&, bool isHome, time_point now) const;
     bool keeps(const endpoint_id&, prompt_part_id beginning, time_point now) const;
 
-    double m_rate;
     /// Until when each engine is taken to keep a beginning that this router has sent there.
     std::unordered_map<endpoint_id, std::unordered_map<prompt_part_id, time_point>> m_keptUntil;
     time_point m_nextSweep {};
--- a/tests/unit/placement.tests.cpp
+++ b/tests/unit/placement.tests.cpp
@@ -19,7 +19,10 @@
     std::vector<endpoint_standing> rows;
     rows.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index)
-        rows.push_back({ .endpoint = { "engine" + std::to_string(index) }, .domain = north, .slots = { 48 } });
+        rows.push_back({ .endpoint = { "engine" + std::to_string(index) },
+            .domain = north,
+            .slots = { 48 },
+            .readingRate = rate });
     return rows;
 }
 
@@ -40,7 +43,7 @@
 
 TEST_CASE("A beginning has one home while that engine is free [placement]")
 {
-    const prompt_homes homes(rate);
+    const prompt_homes homes;
     const auto rows = engines(9);
     std::map<std::string, int> used;
     for (std::uint64_t beginning = 1; beginning <= 90; ++beginning) {
@@ -55,7 +58,7 @@
 
 TEST_CASE("An engine that goes moves only the beginnings that it was the home of [placement]")
 {
-    const prompt_homes homes(rate);
+    const prompt_homes homes;
     const auto rows = engines(9);
     auto fewer = rows;
     fewer[4].isUsable = false;
@@ -72,7 +75,7 @@
 
 TEST_CASE("A beginning goes to its second home only where reading it again is in time [placement]")
 {
-    const prompt_homes homes(rate);
+    const prompt_homes homes;
     auto rows = engines(9);
     const auto prompt = promptOf(5, 13'000, 1000);
     const auto home = homes.place(callOf(prompt), rows, start)->endpoint;
@@ -91,7 +94,7 @@
 
 TEST_CASE("What other routers have sent counts as waiting [placement]")
 {
-    const prompt_homes homes(rate);
+    const prompt_homes homes;
     auto rows = engines(2);
     const auto prompt = promptOf(7, 500, 500);
     const auto first = homes.place(callOf(prompt), rows, start)->endpoint;
@@ -104,7 +107,7 @@
 
 TEST_CASE("Without a usable engine nothing is placed [placement]")
 {
-    const prompt_homes homes(rate);
+    const prompt_homes homes;
     auto rows = engines(2);
     for (auto& row : rows)
         row.isUsable = false;
