--- a/src/kumquatbeam/controllers/command.hpp
+++ b/src/kumquatbeam/controllers/command.hpp
@@ -102,8 +102,6 @@
     /// Whether a reset before the answer would leave open whether the call ran, so that a connection which the endpoint
     /// may be closing is not good enough.
     bool needsFreshConnection = false;
-    /// The engine from whose cache this one is to copy the beginning of the prompt, instead of reading it.
-    std::optional<endpoint_address> fetchFrom {};
     /// Bytes that an earlier attempt has relayed; the endpoint is asked to go on from there.
     byte_count resumeAt {};
     /// The last event that an earlier attempt has relayed; the endpoint is asked to go on after it.
--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -135,18 +135,18 @@
     if (!choice)
         return false;
     const auto& request = call.context;
+    const auto& announced = *m_directory.find(choice->endpoint);
     pool->recordPlaced(request.call->prompt, *choice, context.now);
 
     const auto kind = request.matched->route->kind;
     start_attempt attempt { .id = request.id,
-        .to = *addressOf(choice->endpoint),
+        .to = { announced.id, announced.address, announced.port, announced.life },
         .call = request.call,
         .account = request.account,
         .sendBefore = std::min(request.sendBefore, request.deadline),
         .deadline = request.deadline,
         .path = isStream(kind) ? answer_path::Events : answer_path::Kept,
         .needsFreshConnection = !mayRunAgain(kind),
-        .fetchFrom = choice->fetchFrom ? addressOf(*choice->fetchFrom) : std::nullopt,
         .resumeAfter = call.before.lastEvent };
     const bool mayFollow = kind == call_kind::Idempotent && call.before.sent + 1 < request.matched->route->attemptLimit;
     if (mayFollow)
@@ -171,14 +171,6 @@
     return true;
 }
 
-std::optional<endpoint_address> dispatch_controller::addressOf(const endpoint_id& endpoint) const
-{
-    const auto* announced = m_directory.find(endpoint);
-    if (!announced)
-        return std::nullopt;
-    return endpoint_address { announced->id, announced->address, announced->port, announced->life };
-}
-
 void dispatch_controller::begin(request_id id, time_point now)
 {
     const auto found = m_running.find(id);
--- a/src/kumquatbeam/controllers/dispatch_controller.hpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.hpp
@@ -61,7 +61,6 @@
     void admit(const request_context&, decision_context&);
     void recordAsked(const request_context&, time_point now);
     bool start(running_call, decision_context&);
-    std::optional<endpoint_address> addressOf(const endpoint_id&) const;
     void begin(request_id, time_point now);
     void abandon(request_id, decision_context&);
     void finishAttempt(const attempt_ended&, decision_context&);
--- a/src/kumquatbeam/controllers/dispatch_pool.cpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.cpp
@@ -12,26 +12,13 @@
 
 namespace {
 
-    /// Counted tokens that the engines of a pool produce for each token that they can read: the pool's rate counts
-    /// generated tokens and shared beginnings, which cost no reading.
-    constexpr double readingFactor = 2.0;
-
-    /// Reading rate of an engine, in tokens a millisecond, where the pool's rate is unknown.
+    /// Reading rate of an engine, in tokens a millisecond.
     constexpr double defaultReadingRate = 50;
 
-    double readingRateOf(std::int64_t tokensPerSecond, std::size_t engines)
-    {
-        if (tokensPerSecond == 0 || engines == 0)
-            return defaultReadingRate;
-        constexpr double millisecondsPerSecond = 1000;
-        return static_cast<double>(tokensPerSecond) / millisecondsPerSecond / static_cast<double>(engines)
-            * readingFactor;
-    }
-
     std::unique_ptr<placement_strategy> strategyFor(const routed_pool& pool)
     {
         if (pool.engine)
-            return std::make_unique<prompt_homes>(*pool.engine);
+            return std::make_unique<prompt_homes>();
         return std::make_unique<least_running>();
     }
 
@@ -65,9 +52,8 @@
         names.insert(name);
         m_endpoints.push_back(std::move(row));
     }
-    const auto rate = readingRateOf(table.tokensPerSecond, m_endpoints.size());
     for (auto& row : m_endpoints)
-        row.readingRate = rate;
+        row.readingRate = defaultReadingRate;
     m_health.setEndpoints(names);
 }
 
--- a/src/kumquatbeam/decisions/placement/prompt_homes.cpp
+++ b/src/kumquatbeam/decisions/placement/prompt_homes.cpp
@@ -29,81 +29,47 @@
         return word ^ (word >> shift);
     }
 
-    /// Ranks engines for a beginning: the same way at every router, and each beginning in another order.
-    std::uint64_t rankOf(const endpoint_standing& row, std::optional<prompt_part_id> beginning)
+    /// The 64-bit FNV-1a hash of a name: the same in every router.
+    std::uint64_t hashOf(const std::string& name)
     {
-        return mixed(row.key.value ^ mixed(beginning.value_or(prompt_part_id {}).value));
-    }
-
-    std::chrono::duration<double, std::micro> transferTimeOf(const engine_traits& traits)
-    {
-        constexpr double bitsPerByte = 8;
-        if (traits.linkMegabitsPerSecond <= 0)
-            return {};
-        return std::chrono::duration<double, std::micro>(
-            static_cast<double>(traits.tokenBytes.value) * bitsPerByte / traits.linkMegabitsPerSecond);
+        std::uint64_t hash = 14695981039346656037ULL;
+        for (const char character : name) {
+            hash ^= static_cast<unsigned char>(character);
+            hash *= 1099511628211ULL;
+        }
+        return hash;
     }
 
 } // namespace
 
-prompt_homes::prompt_homes(const engine_traits& traits)
-    : m_transferTime(transferTimeOf(traits))
-{
-}
-
 std::optional<placement> prompt_homes::place(
     const placement_call& call, std::span<const endpoint_standing> endpoints, time_point now) const
 {
+    const auto beginning = beginningOf(call.prompt);
+    const bool hasHomes = beginning && call.prompt.sharedTokens() >= longBeginning;
     std::vector<candidate> candidates;
     for (const auto& row : endpoints) {
         if (row.isUsable)
-            candidates.push_back({ &row, rankOf(row, beginningOf(call.prompt)) });
+            candidates.push_back(
+                { &row, mixed(hashOf(row.endpoint.value) ^ mixed(beginning.value_or(prompt_part_id {}).value)) });
     }
     if (candidates.empty())
         return std::nullopt;
-    return call.prompt.sharedTokens() >= longBeginning ? placeAtHome(call, std::move(candidates), now)
-                                                       : placeAnywhere(call, std::move(candidates), now);
-}
-
-std::optional<placement> prompt_homes::placeAtHome(
-    const placement_call& call, std::vector<candidate> candidates, time_point now) const
-{
-    const auto kept = std::min(homeCount, candidates.size());
-    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(kept), candidates.end(),
-        [](const candidate& left, const candidate& right) { return left.score > right.score; });
-    candidates.resize(kept);
-    for (auto& one : candidates)
-        assess(call, one, candidates.front(), now);
-    const auto& home = candidates.front();
-    const auto best = std::min_element(candidates.begin(), candidates.end(),
-        [](const candidate& left, const candidate& right) { return left.readBy < right.readBy; });
-    const bool staysHome = home.wait <= call.waitLimit && home.readBy <= best->readBy + spillMargin;
-    const auto& chosen = staysHome ? home : *best;
-    if (chosen.wait > call.waitLimit)
-        return std::nullopt;
-    placement choice { .endpoint = chosen.row->endpoint, .toRead = chosen.toRead, .wait = chosen.wait };
-    if (chosen.isFetched)
-        choice.fetchFrom = home.row->endpoint;
-    choice.reason = &chosen == &home ? "home of its beginning" : "home is busy";
-    if (best != candidates.begin()) {
-        choice.runnerUp = staysHome ? best->row->endpoint : home.row->endpoint;
-        choice.runnerUpReason = staysHome ? "reads it hardly sooner" : "reads it later";
+    if (hasHomes) {
+        const auto kept = std::min(homeCount, candidates.size());
+        std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(kept), candidates.end(),
+            [](const candidate& left, const candidate& right) { return left.score > right.score; });
+        candidates.resize(kept);
     }
-    return choice;
-}
-
-std::optional<placement> prompt_homes::placeAnywhere(
-    const placement_call& call, std::vector<candidate> candidates, time_point now) const
-{
-    for (auto& one : candidates)
-        assess(call, one, one, now);
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+        candidates[i] = assess(call, *candidates[i].row, hasHomes && i == 0, now);
     std::stable_sort(candidates.begin(), candidates.end(),
         [](const candidate& left, const candidate& right) { return left.readBy < right.readBy; });
     const auto& best = candidates.front();
     if (best.wait > call.waitLimit)
         return std::nullopt;
     placement choice { .endpoint = best.row->endpoint, .toRead = best.toRead, .wait = best.wait };
-    choice.reason = "engine that reads it first";
+    choice.reason = hasHomes ? "home that reads it first" : "engine that reads it first";
     if (candidates.size() > 1) {
         choice.runnerUp = candidates[1].row->endpoint;
         choice.runnerUpReason = "reads it later";
@@ -132,26 +98,20 @@
         static_cast<std::int64_t>(static_cast<double>(tokens.value) / row.readingRate * microsecondsPerMillisecond));
 }
 
-void prompt_homes::assess(const placement_call& call, candidate& one, const candidate& home, time_point now) const
+prompt_homes::candidate prompt_homes::assess(
+    const placement_call& call, const endpoint_standing& row, bool isHome, time_point now) const
 {
-    const auto& row = *one.row;
-    const auto shared = std::min(call.prompt.sharedTokens(), call.prompt.promptTokens);
-    const bool isLong = shared >= longBeginning;
-    const bool isHome = isLong && &one == &home;
+    candidate assessed { .row = &row, .toRead = call.prompt.promptTokens };
     const auto beginning = beginningOf(call.prompt);
-    const bool isKept = isHome || (beginning && keeps(row.endpoint, *beginning, now));
-    one.isFetched = !isKept && isLong && m_transferTime.count() > 0;
-    one.toRead = call.prompt.promptTokens;
-    if (isKept || one.isFetched)
-        one.toRead -= shared;
-    one.wait = timeToRead(row, row.toReadInAll());
-    if (one.isFetched)
-        one.wait += std::chrono::duration_cast<std::chrono::microseconds>(
-            m_transferTime * static_cast<double>(shared.value));
-    else if (!isKept)
-        one.wait += timeToRead(row, shared);
-    const auto own = isKept || one.isFetched ? one.toRead : one.toRead - shared;
-    one.readBy = one.wait + timeToRead(row, own);
+    const bool isKept = beginning && (isHome || keeps(row.endpoint, *beginning, now));
+    const auto shared = call.prompt.sharedTokens();
+    if (isKept)
+        assessed.toRead -= std::min(shared, assessed.toRead);
+    assessed.wait = timeToRead(row, row.toReadInAll());
+    if (!isKept)
+        assessed.wait += timeToRead(row, shared);
+    assessed.readBy = timeToRead(row, row.toReadInAll() + assessed.toRead);
+    return assessed;
 }
 
 bool prompt_homes::keeps(const endpoint_id& endpoint, prompt_part_id beginning, time_point now) const
--- a/src/kumquatbeam/decisions/placement/prompt_homes.hpp
+++ b/src/kumquatbeam/decisions/placement/prompt_homes.hpp
@@ -1,37 +1,29 @@
 #pragma once
 
 #include "kumquatbeam/decisions/placement/placement_strategy.hpp"
-#include "kumquatbeam/settings/route_table.hpp"
 
 #include <unordered_map>
 #include <utility>
-#include <vector>
 
 namespace kumquatbeam {
 
-/// For model engines: requests that share a long beginning of their prompts go to the same engine, its home, which then
-/// has it in its cache. Rendezvous hashing gives each beginning its home, the same one at every router; an engine that
-/// comes or goes moves only the beginnings that it is the home of.
+/// For model engines: requests that share a long beginning of their prompts go to the same few engines, which then have
+/// it in their caches. Rendezvous hashing gives each beginning its homes, the same ones at every router; an engine that
+/// comes or goes moves only the beginnings that it is a home of.
 ///
-/// Where the home is busy, one of the engines that rank next takes the request and copies the beginning from the home,
-/// which costs it less time than reading. Prompts that share little go to the engine that reads them soonest.
+/// Among the homes, and among all engines for prompts that share little, the one goes first that reads the prompt
+/// soonest.
 class prompt_homes final : public placement_strategy {
 public:
-    /// Engines among which a beginning stays: its home, and those that take over from it.
-    static constexpr std::size_t homeCount = 3;
+    /// Engines that are the home of one beginning.
+    static constexpr std::size_t homeCount = 2;
 
-    /// Shared tokens from which a beginning has a home; fewer are read faster than a detour costs.
+    /// Shared tokens from which a beginning has homes; fewer are read faster than a detour costs.
     static constexpr token_count longBeginning { 1024 };
 
-    /// Time by which another engine has to read a prompt sooner than its home does. What is known of the engines is
-    /// some tenths of a second old, and a copy of the beginning takes memory from others.
-    static constexpr std::chrono::milliseconds spillMargin { 60 };
-
     /// Time for which an engine is taken to keep what it has read.
     static constexpr std::chrono::seconds keptFor { 8 };
 
-    explicit prompt_homes(const engine_traits&);
-
     std::string_view name() const override { return "prompt-homes"; }
     std::optional<placement> place(
         const placement_call&, std::span<const endpoint_standing>, time_point now) const override;
@@ -49,19 +41,12 @@
         std::chrono::microseconds wait {};
         /// When the prompt has been read, were it sent now.
         std::chrono::microseconds readBy {};
-        /// Whether it copies the beginning from the home.
-        bool isFetched = false;
     };
 
-    std::optional<placement> placeAtHome(const placement_call&, std::vector<candidate>, time_point now) const;
-    std::optional<placement> placeAnywhere(const placement_call&, std::vector<candidate>, time_point now) const;
-    void assess(const placement_call&, candidate&, const candidate& home, time_point now) const;
-
     static std::chrono::microseconds timeToRead(const endpoint_standing&, token_count);
+    candidate assess(const placement_call&, const endpoint_standing&, bool isHome, time_point now) const;
     bool keeps(const endpoint_id&, prompt_part_id beginning, time_point now) const;
 
-    /// Time in which one token is copied from another engine; zero where engines cannot.
-    std::chrono::duration<double, std::micro> m_transferTime;
     /// Until when each engine is taken to keep a beginning that this router has sent there.
     std::unordered_map<endpoint_id, std::unordered_map<prompt_part_id, time_point>> m_keptUntil;
     time_point m_nextSweep {};
--- a/src/kumquatbeam/settings/route_table.hpp
+++ b/src/kumquatbeam/settings/route_table.hpp
@@ -50,9 +50,6 @@
     slot_count slots;
     /// Memory of an engine for running requests and for parts of prompts that it has read.
     token_count cacheTokens;
-    /// Memory of one token, and the bandwidth at which engines copy it from each other; zero where they cannot.
-    byte_count tokenBytes {};
-    double linkMegabitsPerSecond = 0;
 };
 
 /// A pool that routes lead to.
