Send short prompts to the best of a sample of the own domain

Cause: every router sent short prompts to the engine with the least known load. Three of four went to another failure domain, and bytes between domains are the largest price there. Ruled out: rendezvous homes for short beginnings; all but 140 tokens of them are kept everywhere anyway. Change: the best of three of the own domain and, at a margin of 40 ms, of three of the others, drawn anew for each request.

--- a/src/kumquatbeam/decisions/placement/prompt_homes.cpp
+++ b/src/kumquatbeam/decisions/placement/prompt_homes.cpp
@@ -29,15 +29,10 @@
         return word ^ (word >> shift);
     }
 
-    /// The 64-bit FNV-1a hash of a name: the same in every router.
-    std::uint64_t hashOf(const std::string& name)
+    /// Ranks engines for a part of a prompt: the same way at every router, and for each part in another order.
+    std::uint64_t rankOf(const endpoint_standing& row, prompt_part_id part)
     {
-        std::uint64_t hash = 14695981039346656037ULL;
-        for (const char character : name) {
-            hash ^= static_cast<unsigned char>(character);
-            hash *= 1099511628211ULL;
-        }
-        return hash;
+        return mixed(row.key.value ^ mixed(part.value));
     }
 
 } // namespace
@@ -45,31 +40,13 @@
 std::optional<placement> prompt_homes::place(
     const placement_call& call, std::span<const endpoint_standing> endpoints, time_point now) const
 {
-    const auto beginning = beginningOf(call.prompt);
-    const bool hasHomes = beginning && call.prompt.sharedTokens() >= longBeginning;
-    std::vector<candidate> candidates;
-    for (const auto& row : endpoints) {
-        if (row.isUsable)
-            candidates.push_back(
-                { &row, mixed(hashOf(row.endpoint.value) ^ mixed(beginning.value_or(prompt_part_id {}).value)) });
-    }
-    if (candidates.empty())
+    const auto candidates
+        = call.prompt.sharedTokens() >= longBeginning ? homesOf(call, endpoints, now) : sampleFor(call, endpoints, now);
+    if (candidates.empty() || candidates.front().wait > call.waitLimit)
         return std::nullopt;
-    if (hasHomes) {
-        const auto kept = std::min(homeCount, candidates.size());
-        std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(kept), candidates.end(),
-            [](const candidate& left, const candidate& right) { return left.score > right.score; });
-        candidates.resize(kept);
-    }
-    for (std::size_t i = 0; i < candidates.size(); ++i)
-        candidates[i] = assess(call, *candidates[i].row, hasHomes && i == 0, now);
-    std::stable_sort(candidates.begin(), candidates.end(),
-        [](const candidate& left, const candidate& right) { return left.readBy < right.readBy; });
     const auto& best = candidates.front();
-    if (best.wait > call.waitLimit)
-        return std::nullopt;
     placement choice { .endpoint = best.row->endpoint, .toRead = best.toRead, .wait = best.wait };
-    choice.reason = hasHomes ? "home that reads it first" : "engine that reads it first";
+    choice.reason = call.prompt.sharedTokens() >= longBeginning ? "home that reads it first" : "first of a sample";
     if (candidates.size() > 1) {
         choice.runnerUp = candidates[1].row->endpoint;
         choice.runnerUpReason = "reads it later";
@@ -77,6 +54,45 @@
     return choice;
 }
 
+std::vector<prompt_homes::candidate> prompt_homes::homesOf(
+    const placement_call& call, std::span<const endpoint_standing> endpoints, time_point now) const
+{
+    std::vector<candidate> homes;
+    for (const auto& row : endpoints) {
+        if (row.isUsable)
+            homes.push_back({ &row, rankOf(row, *beginningOf(call.prompt)) });
+    }
+    keepFirst(homes, homeCount);
+    for (std::size_t i = 0; i < homes.size(); ++i)
+        assess(call, homes[i], i == 0, now);
+    sortByReading(homes);
+    return homes;
+}
+
+std::vector<prompt_homes::candidate> prompt_homes::sampleFor(
+    const placement_call& call, std::span<const endpoint_standing> endpoints, time_point now) const
+{
+    // The last part is the request's own, so each request draws another sample.
+    const auto own = call.prompt.parts.empty() ? prompt_part_id {} : call.prompt.parts.back().id;
+    std::vector<candidate> near;
+    std::vector<candidate> far;
+    for (const auto& row : endpoints) {
+        if (row.isUsable)
+            (row.domain == call.domain ? near : far).push_back({ &row, rankOf(row, own) });
+    }
+    keepFirst(near, sampleSize);
+    keepFirst(far, sampleSize);
+    for (auto& one : near)
+        assess(call, one, false, now);
+    for (auto& one : far) {
+        assess(call, one, false, now);
+        one.readBy += detour;
+    }
+    near.insert(near.end(), far.begin(), far.end());
+    sortByReading(near);
+    return near;
+}
+
 void prompt_homes::recordPlaced(const prompt_shape& prompt, const endpoint_id& endpoint, time_point now)
 {
     const auto beginning = beginningOf(prompt);
@@ -98,20 +114,33 @@
         static_cast<std::int64_t>(static_cast<double>(tokens.value) / row.readingRate * microsecondsPerMillisecond));
 }
 
-prompt_homes::candidate prompt_homes::assess(
-    const placement_call& call, const endpoint_standing& row, bool isHome, time_point now) const
+void prompt_homes::assess(const placement_call& call, candidate& one, bool isHome, time_point now) const
 {
-    candidate assessed { .row = &row, .toRead = call.prompt.promptTokens };
+    const auto& row = *one.row;
     const auto beginning = beginningOf(call.prompt);
     const bool isKept = beginning && (isHome || keeps(row.endpoint, *beginning, now));
     const auto shared = call.prompt.sharedTokens();
+    one.toRead = call.prompt.promptTokens;
     if (isKept)
-        assessed.toRead -= std::min(shared, assessed.toRead);
-    assessed.wait = timeToRead(row, row.toReadInAll());
+        one.toRead -= std::min(shared, one.toRead);
+    one.wait = timeToRead(row, row.toReadInAll());
     if (!isKept)
-        assessed.wait += timeToRead(row, shared);
-    assessed.readBy = timeToRead(row, row.toReadInAll() + assessed.toRead);
-    return assessed;
+        one.wait += timeToRead(row, shared);
+    one.readBy = timeToRead(row, row.toReadInAll() + one.toRead);
+}
+
+void prompt_homes::keepFirst(std::vector<candidate>& candidates, std::size_t count)
+{
+    const auto kept = std::min(count, candidates.size());
+    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(kept), candidates.end(),
+        [](const candidate& left, const candidate& right) { return left.rank > right.rank; });
+    candidates.resize(kept);
+}
+
+void prompt_homes::sortByReading(std::vector<candidate>& candidates)
+{
+    std::stable_sort(candidates.begin(), candidates.end(),
+        [](const candidate& left, const candidate& right) { return left.readBy < right.readBy; });
 }
 
 bool prompt_homes::keeps(const endpoint_id& endpoint, prompt_part_id beginning, time_point now) const
--- a/src/kumquatbeam/decisions/placement/prompt_homes.hpp
+++ b/src/kumquatbeam/decisions/placement/prompt_homes.hpp
@@ -4,6 +4,7 @@
 
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace kumquatbeam {
 
@@ -11,8 +12,9 @@
 /// it in their caches. Rendezvous hashing gives each beginning its homes, the same ones at every router; an engine that
 /// comes or goes moves only the beginnings that it is a home of.
 ///
-/// Among the homes, and among all engines for prompts that share little, the one goes first that reads the prompt
-/// soonest.
+/// Among the homes the one goes first that reads the prompt soonest. Prompts that share little go to the best of a
+/// small random sample, of the router's own failure domain as a rule: were the best of all engines taken, every router
+/// would send to the same one until the next word of its load.
 class prompt_homes final : public placement_strategy {
 public:
     /// Engines that are the home of one beginning.
@@ -21,6 +23,12 @@
     /// Shared tokens from which a beginning has homes; fewer are read faster than a detour costs.
     static constexpr token_count longBeginning { 1024 };
 
+    /// Engines drawn from the own failure domain, and from the others, for a prompt without homes.
+    static constexpr std::size_t sampleSize = 3;
+
+    /// Time by which an engine in another failure domain has to read a prompt sooner: traffic between domains is dear.
+    static constexpr std::chrono::milliseconds detour { 40 };
+
     /// Time for which an engine is taken to keep what it has read.
     static constexpr std::chrono::seconds keptFor { 8 };
 
@@ -36,7 +44,7 @@
 private:
     struct candidate {
         const endpoint_standing* row = nullptr;
-        std::uint64_t score = 0;
+        std::uint64_t rank = 0;
         token_count toRead {};
         std::chrono::microseconds wait {};
         /// When the prompt has been read, were it sent now.
@@ -44,7 +52,11 @@
     };
 
     static std::chrono::microseconds timeToRead(const endpoint_standing&, token_count);
-    candidate assess(const placement_call&, const endpoint_standing&, bool isHome, time_point now) const;
+    std::vector<candidate> homesOf(const placement_call&, std::span<const endpoint_standing>, time_point now) const;
+    std::vector<candidate> sampleFor(const placement_call&, std::span<const endpoint_standing>, time_point now) const;
+    void assess(const placement_call&, candidate&, bool isHome, time_point now) const;
+    static void keepFirst(std::vector<candidate>&, std::size_t count);
+    static void sortByReading(std::vector<candidate>&);
     bool keeps(const endpoint_id&, prompt_part_id beginning, time_point now) const;
 
     /// Until when each engine is taken to keep a beginning that this router has sent there.
--- a/tests/unit/placement.tests.cpp
+++ b/tests/unit/placement.tests.cpp
@@ -1,8 +1,10 @@
 #include "kumquatbeam/decisions/placement/least_running.hpp"
 #include "kumquatbeam/decisions/placement/prompt_homes.hpp"
+#include "kumquatbeam/types/wire_key.hpp"
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -20,6 +22,7 @@
     rows.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index)
         rows.push_back({ .endpoint = { "engine" + std::to_string(index) },
+            .key = wireKeyOf("engine" + std::to_string(index)),
             .domain = north,
             .slots = { 48 },
             .readingRate = rate });
@@ -105,6 +108,40 @@
     CHECK(homes.place(callOf(prompt), rows, start)->endpoint != first);
 }
 
+TEST_CASE("Prompts that share little spread over their own domain [placement]")
+{
+    const prompt_homes homes;
+    auto rows = engines(12);
+    for (std::size_t index = 0; index < rows.size(); ++index)
+        rows[index].domain = { index % 2 == 0 ? "north" : "south" };
+    std::map<std::string, int> used;
+    for (std::uint64_t request = 1; request <= 300; ++request) {
+        const auto choice = homes.place(callOf(promptOf(request, 300, 1000)), rows, start);
+        REQUIRE(choice);
+        ++used[choice->endpoint.value];
+    }
+    // With the same load everywhere, no engine of the domain draws much more than its sixth.
+    CHECK(used.size() == 6);
+    for (const auto& [engine, count] : used)
+        CHECK(count < 100);
+}
+
+TEST_CASE("A short prompt leaves its domain where the domain is busy [placement]")
+{
+    const prompt_homes homes;
+    auto rows = engines(12);
+    for (std::size_t index = 0; index < rows.size(); ++index) {
+        rows[index].domain = { index % 2 == 0 ? "north" : "south" };
+        if (rows[index].domain == north)
+            rows[index].toReadElsewhere = { 15'000 };
+    }
+    const auto choice = homes.place(callOf(promptOf(7, 300, 1000)), rows, start);
+    REQUIRE(choice);
+    const auto chosen = std::find_if(
+        rows.begin(), rows.end(), [&](const endpoint_standing& row) { return row.endpoint == choice->endpoint; });
+    CHECK(chosen->domain.value == "south");
+}
+
 TEST_CASE("Without a usable engine nothing is placed [placement]")
 {
     const prompt_homes homes;
