--- a/src/kumquatbeam/controllers/dispatch_pool.cpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-    /// Reading rate of an engine, in tokens a millisecond.
-    constexpr double defaultReadingRate = 50;
-
     std::unique_ptr<placement_strategy> strategyFor(const routed_pool& pool)
     {
         if (pool.engine)
@@ -53,7 +50,7 @@
         m_endpoints.push_back(std::move(row));
     }
     for (auto& row : m_endpoints)
-        row.readingRate = defaultReadingRate;
+        row.readingRate = m_pace.rate();
     m_health.setEndpoints(names);
 }
 
@@ -103,10 +100,17 @@
     m_strategy->recordPlaced(prompt, choice.endpoint, now);
 }
 
-void dispatch_pool::recordRead(const endpoint_id& endpoint, token_count read)
+void dispatch_pool::recordRead(const endpoint_id& endpoint, token_count unread)
 {
     if (auto* row = find(endpoint))
-        row->toRead -= read;
+        row->toRead -= unread;
+}
+
+void dispatch_pool::recordFirstEvent(token_count believed, std::chrono::milliseconds elapsed, time_point now)
+{
+    m_pace.record(believed, elapsed, now);
+    for (auto& row : m_endpoints)
+        row.readingRate = m_pace.rate();
 }
 
 void dispatch_pool::recordEnded(const endpoint_id& endpoint, token_count unread)
