--- a/src/kumquatbeam/decisions/admission/wait_terms.cpp
+++ b/src/kumquatbeam/decisions/admission/wait_terms.cpp
@@ -16,17 +16,17 @@
 
     /// At the shortest wait an engine is still kept busy from one call to the next.
     constexpr auto termTable = std::to_array<term_row>({
-        { 0.8, 0.8 },
-        { 1.1, 0.2 },
-        { 1.3, 0.08 },
+        { 0.8, 0.5 },
+        { 1.1, 0.08 },
+        { 1.3, 0.0 },
     });
 
     /// Standing from which an account is refused outright.
     constexpr double refusedStanding = 1.6;
 
     /// @{ Pressures at which shares begin to count, and from which on they count in full.
-    constexpr double lightPressure = 0.08;
-    constexpr double fullPressure = 0.3;
+    constexpr double lightPressure = 0.03;
+    constexpr double fullPressure = 0.15;
     /// @}
 
     double partUnderPressure(double standing)
