--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -165,8 +165,6 @@
         .wait = choice->wait });
     call.endpoint = choice->endpoint;
     call.toRead = choice->toRead;
-    call.believed = choice->backlog + choice->toRead;
-    call.sentAt = context.now;
     const auto id = request.id;
     m_running.emplace(id, std::move(call));
     context.commands.send(endpoint_command { std::move(attempt) });
@@ -181,11 +179,8 @@
     auto& call = found->second;
     call.begunAt = now;
     const auto read = std::exchange(call.toRead, token_count {});
-    if (auto* pool = poolOf(call.context)) {
+    if (auto* pool = poolOf(call.context))
         pool->recordRead(call.endpoint, read);
-        if (!call.context.call->prompt.isEmpty())
-            pool->recordFirstEvent(call.believed, since(call.sentAt, now), now);
-    }
 }
 
 void dispatch_controller::abandon(request_id id, decision_context& context)
--- a/src/kumquatbeam/controllers/dispatch_controller.hpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.hpp
@@ -52,9 +52,6 @@
         endpoint_id endpoint;
         /// Prompt tokens that the endpoint still has to read before the first event.
         token_count toRead;
-        /// Prompt tokens that the endpoint was believed to have to read until the first event, and when it was asked.
-        token_count believed {};
-        time_point sentAt {};
         call_history before {};
         std::optional<time_point> begunAt {};
         bool isAbandoned = false;
--- a/src/kumquatbeam/controllers/dispatch_pool.cpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+    /// Reading rate of an engine, in tokens a millisecond.
+    constexpr double defaultReadingRate = 50;
+
     std::unique_ptr<placement_strategy> strategyFor(const routed_pool& pool)
     {
         if (pool.engine)
@@ -50,7 +53,7 @@
         m_endpoints.push_back(std::move(row));
     }
     for (auto& row : m_endpoints)
-        row.readingRate = m_pace.rate();
+        row.readingRate = defaultReadingRate;
     m_health.setEndpoints(names);
 }
 
@@ -100,17 +103,10 @@
     m_strategy->recordPlaced(prompt, choice.endpoint, now);
 }
 
-void dispatch_pool::recordRead(const endpoint_id& endpoint, token_count unread)
+void dispatch_pool::recordRead(const endpoint_id& endpoint, token_count read)
 {
     if (auto* row = find(endpoint))
-        row->toRead -= unread;
-}
-
-void dispatch_pool::recordFirstEvent(token_count believed, std::chrono::milliseconds elapsed, time_point now)
-{
-    m_pace.record(believed, elapsed, now);
-    for (auto& row : m_endpoints)
-        row.readingRate = m_pace.rate();
+        row->toRead -= read;
 }
 
 void dispatch_pool::recordEnded(const endpoint_id& endpoint, token_count unread)
--- a/src/kumquatbeam/controllers/dispatch_pool.hpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.hpp
@@ -5,7 +5,6 @@
 #include "kumquatbeam/decisions/admission/account_shares.hpp"
 #include "kumquatbeam/decisions/endpoint_health.hpp"
 #include "kumquatbeam/decisions/placement/placement_strategy.hpp"
-#include "kumquatbeam/decisions/placement/reading_pace.hpp"
 #include "kumquatbeam/decisions/shared_retry_budget.hpp"
 #include "kumquatbeam/settings/route_table.hpp"
 #include "kumquatbeam/types/request_context.hpp"
@@ -59,17 +58,12 @@
     /// Pays for one repeat of a call, or returns false when the budget is spent.
     bool payForRepeat(time_point now) { return m_retries.tryWithdraw(m_fleet.routersAtMost(), now); }
 
-    /// @{ A call goes to an endpoint, has been read there, and has ended. `unread` is what is still counted of the
-    /// call.
+    /// @{ A call goes to an endpoint, has been read there, and has ended.
     void recordPlaced(const prompt_shape&, const placement&, time_point now);
-    void recordRead(const endpoint_id&, token_count unread);
+    void recordRead(const endpoint_id&, token_count read);
     void recordEnded(const endpoint_id&, token_count unread);
     /// @}
 
-    /// Takes in the time from sending a call to its first event, for what the endpoint was believed to have to read
-    /// until then.
-    void recordFirstEvent(token_count believed, std::chrono::milliseconds elapsed, time_point now);
-
     /// Takes in how an attempt ended, for the endpoint's health.
     void recordOutcome(const attempt_ended&, time_point now);
 
@@ -83,7 +77,6 @@
     std::unique_ptr<placement_strategy> m_strategy;
     std::vector<endpoint_standing> m_endpoints;
     endpoint_health m_health;
-    reading_pace m_pace;
     shared_retry_budget m_retries;
     account_shares m_shares;
     /// Endpoints at whose address another one has answered, and until when that is believed.
--- a/src/kumquatbeam/decisions/placement/prompt_homes.cpp
+++ b/src/kumquatbeam/decisions/placement/prompt_homes.cpp
@@ -45,9 +45,7 @@
     if (candidates.empty() || candidates.front().wait > call.waitLimit)
         return std::nullopt;
     const auto& best = candidates.front();
-    placement choice {
-        .endpoint = best.row->endpoint, .toRead = best.toRead, .backlog = best.row->toReadInAll(), .wait = best.wait
-    };
+    placement choice { .endpoint = best.row->endpoint, .toRead = best.toRead, .wait = best.wait };
     choice.reason = call.prompt.sharedTokens() >= longBeginning ? "home that reads it first" : "first of a sample";
     if (candidates.size() > 1) {
         choice.runnerUp = candidates[1].row->endpoint;
--- a/src/kumquatbeam/types/placement.hpp
+++ b/src/kumquatbeam/types/placement.hpp
@@ -13,8 +13,6 @@
     endpoint_id endpoint;
     /// Prompt tokens that the endpoint has to read, as far as is known.
     token_count toRead {};
-    /// Prompt tokens that others have sent there and that are read first, as far as is known.
-    token_count backlog {};
     /// Time until the endpoint turns to the call, as far as is known.
     std::chrono::microseconds wait { 0 };
     std::string_view reason {};
