--- a/src/kumquatbeam/controllers/directory_controller.cpp
+++ b/src/kumquatbeam/controllers/directory_controller.cpp
@@ -45,7 +45,8 @@
 
 void directory_controller::observe(const directory_observed& observed, decision_context& context)
 {
-    if (m_lastRead != never && observed.askedAt > m_lastRead + outageGap) {
+    const auto longestGap = std::chrono::duration_cast<clock::duration>(m_bounds.changeInForce * outagePart);
+    if (m_lastRead != never && observed.askedAt > m_lastRead + longestGap) {
         m_keepMissingUntil = context.now + m_bounds.returnAllowance;
         context.log.changed({ name(), "regained",
             "after-ms="
--- a/src/kumquatbeam/controllers/directory_controller.hpp
+++ b/src/kumquatbeam/controllers/directory_controller.hpp
@@ -15,8 +15,9 @@
 /// writers cannot reach the directory, so an endpoint that is missing after an outage is kept for a moment.
 class directory_controller final : public controller {
 public:
-    /// A gap between two reads after which missing announcements may have lapsed for want of a reachable directory.
-    static constexpr std::chrono::milliseconds outageGap { 1500 };
+    /// Part of the time in which changes have to be in force. Reads are less far apart than this while the directory
+    /// can be reached; after a longer gap, missing announcements may have lapsed for want of it.
+    static constexpr double outagePart = 0.75;
 
     explicit directory_controller(const route_bounds&);
 
--- a/src/kumquatbeam/settings/route_bounds.hpp
+++ b/src/kumquatbeam/settings/route_bounds.hpp
@@ -9,6 +9,8 @@
 struct route_bounds {
     /// Time after which a key that was taken away must not be accepted any more.
     std::chrono::milliseconds keyRevocation { 5000 };
+    /// Time in which a change that operators or endpoints publish has to be in force.
+    std::chrono::milliseconds changeInForce { 2000 };
     /// Time from SIGTERM to SIGKILL.
     std::chrono::milliseconds gracePeriod { 8000 };
     /// Time for which an endpoint whose announcement lapsed in an outage of the directory may stay away after it.
--- a/tests/unit/platform/decoders.tests.cpp
+++ b/tests/unit/platform/decoders.tests.cpp
@@ -36,6 +36,8 @@
 readiness = "10.1.0.33:8780"
 [bounds]
 revocation_ms = 5000
+configuration_apply_ms = 3000
+drain_ms = 2500
 grace_period_s = 8
 retry_budget_ratio = 0.2
 budget_slack = 54
@@ -180,6 +182,8 @@
     CHECK(settings->seeds == std::vector<std::string> { "10.1.0.33", "10.2.0.18" });
     CHECK(settings->bounds.retryAllowance == 54);
     CHECK(settings->router.drainNotice + settings->router.drainLimit < settings->bounds.gracePeriod);
+    // The shorter of the times for a change of the configuration and of an endpoint.
+    CHECK(settings->bounds.changeInForce == std::chrono::milliseconds(2500));
 }
 
 TEST_CASE("Every fault of the settings is named with its place [platform]")
--- a/tests/unit/routing_core.tests.cpp
+++ b/tests/unit/routing_core.tests.cpp
@@ -255,6 +255,17 @@
     CHECK(replyTo(ask("/lookup/1"))->problem->kind == failure_kind::NoEndpoint);
 }
 
+TEST_CASE_FIXTURE(routing_fixture, "Reads that are as far apart as slow bounds allow are no outage [routing]")
+{
+    auto slow = bounds();
+    slow.changeInForce = std::chrono::milliseconds(3000);
+    handle(settings_reloaded { slow, {} });
+    serve();
+    pass(std::chrono::milliseconds(1610));
+    announce({ endpoint("e1", "desk") });
+    CHECK(replyTo(ask("/lookup/1"))->problem->kind == failure_kind::NoEndpoint);
+}
+
 TEST_CASE_FIXTURE(routing_fixture, "A call that may run once is never sent again after a byte went out [routing]")
 {
     serve();
