Say on which configuration a decision rests, and trace a request from its id to its cause

Cause: placements and refusals named their inputs without version or age, and nobody could follow one request through the log without reading all of it.

--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -162,7 +162,8 @@
         .runnerUp = choice->runnerUp,
         .runnerUpReason = choice->runnerUpReason,
         .attempt = call.before.made,
-        .wait = choice->wait });
+        .wait = choice->wait,
+        .basis = m_routes.basis(context.now) });
     call.endpoint = choice->endpoint;
     call.toRead = choice->toRead;
     const auto id = request.id;
--- a/src/kumquatbeam/controllers/route_controller.cpp
+++ b/src/kumquatbeam/controllers/route_controller.cpp
@@ -46,6 +46,16 @@
         report.document = m_table->current;
 }
 
+decision_basis route_controller::basis(time_point now) const
+{
+    decision_basis basis;
+    if (m_table) {
+        basis.routes = m_table->current;
+        basis.age = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_provedAt);
+    }
+    return basis;
+}
+
 time_point route_controller::freshUntil() const
 {
     const auto part = std::chrono::duration_cast<std::chrono::milliseconds>(m_bounds.keyRevocation * readyPart);
--- a/src/kumquatbeam/controllers/route_controller.hpp
+++ b/src/kumquatbeam/controllers/route_controller.hpp
@@ -23,6 +23,9 @@
     /// The table in force, or null before the first.
     const std::shared_ptr<const route_table>& current() const { return m_table; }
 
+    /// What a decision at this time rests on.
+    decision_basis basis(time_point now) const;
+
     /// Until when the account keys are fresh enough for the router to be called ready.
     time_point freshUntil() const;
 
--- a/src/kumquatbeam/controllers/routing_core.cpp
+++ b/src/kumquatbeam/controllers/routing_core.cpp
@@ -72,7 +72,8 @@
             .account = request.account,
             .pool = request.matched ? request.matched->pool : pool_id {},
             .decidedBy = verdict->filter,
-            .problem = *reply.problem });
+            .problem = *reply.problem,
+            .basis = m_routes.basis(context.now) });
     reply_controller::deliver(request, std::move(reply), context);
 }
 
--- a/src/kumquatbeam/runtime/log_writer.cpp
+++ b/src/kumquatbeam/runtime/log_writer.cpp
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <chrono>
 #include <iostream>
+#include <string>
 #include <utility>
 
 namespace kumquatbeam {
@@ -31,6 +32,13 @@
     using queued_sink = logging::sinks::asynchronous_sink<logging::sinks::text_ostream_backend,
         logging::sinks::bounded_fifo_queue<queuedLines, logging::sinks::drop_on_overflow>>;
 
+    std::string textOf(const std::optional<decision_basis>& basis)
+    {
+        if (!basis || !basis->age)
+            return {};
+        return " routes=" + std::to_string(basis->routes.value) + " age-ms=" + std::to_string(basis->age->count());
+    }
+
     logging::trivial::severity_level severityOf(log_level level)
     {
         switch (level) {
@@ -67,8 +75,8 @@
                             << " account=" << record.account.value << " pool=" << record.pool.value
                             << " endpoint=" << record.endpoint.value << " attempt=" << record.attempt
                             << " wait-us=" << record.wait.count() << " because=\"" << record.reason
-                            << "\" next-best=" << record.runnerUp.value << " not-it=\"" << record.runnerUpReason
-                            << "\"";
+                            << "\" next-best=" << record.runnerUp.value << " not-it=\"" << record.runnerUpReason << "\""
+                            << textOf(record.basis);
 }
 
 void log_writer::refused(const refusal_record& record)
@@ -78,7 +86,7 @@
     BOOST_LOG_TRIVIAL(info) << record.decidedBy << ": refused request=" << record.request.value
                             << " id=" << record.label.value << " account=" << record.account.value
                             << " pool=" << record.pool.value << " failure=" << nameOf(record.problem.kind)
-                            << " because=\"" << describe(record.problem) << "\"";
+                            << " because=\"" << describe(record.problem) << "\"" << textOf(record.basis);
 }
 
 void log_writer::ended(const outcome_record& record)
--- a/tests/scenarios/platform_path.py
+++ b/tests/scenarios/platform_path.py
@@ -1,7 +1,10 @@
 """Calls of every kind go through entry routers on a stand-in of the users' platform, while workers misbehave, callers leave,
 the store fails and routers are told to reload and to stop."""
 
+import pathlib
+import subprocess
 import sys
+import tempfile
 import time
 
 import platform_fleet
@@ -9,6 +12,9 @@
 from platform_fleet import Caller, in_background, raw_exchange
 
 
+TRACER = pathlib.Path(__file__).resolve().parents[2] / "tools" / "trace-request"
+
+
 def events(identity, last):
     return "".join(f"id: {number}\ndata: {identity} event {number}\n\n" for number in range(1, last + 1)).encode()
 
@@ -146,6 +152,27 @@
     checks.equal("a shutdown ends with code 0", router.process.wait(20), 0)
 
 
+def story_of(running, router, identity):
+    """What tools/trace-request says of a request."""
+    with tempfile.NamedTemporaryFile("w", suffix=".log") as log:
+        log.write(running.log_of(router.name))
+        log.flush()
+        told = subprocess.run([sys.executable, TRACER, identity, log.name], capture_output=True, text=True, check=False)
+    return told.stdout
+
+
+def check_stories(checks, running, router):
+    """The three walks of docs/OPERATIONS.md, from a request's id to its cause."""
+    for identity, kind, wanted in (
+            ("outage2", "refused as not run", ("key: refused", "failure=keys-stale", "source: failure=platform-unreachable", "age-ms=")),
+            ("truncate-order", "of unknown outcome", ("placement:", "kind=unknown", "failure=endpoint-broke", "attempts=1")),
+            ("truncate-quote", "whose stream broke off", ("placement:", "outcome:", "failure=endpoint-broke", "attempts=1"))):
+        story = story_of(running, router, identity)
+        for words in wanted:
+            checks.true(f"the log of a request {kind} says {words}", words in story, "" if words in story else story)
+    checks.equal("nothing is told of a request that never came", story_of(running, router, "never-came"), "")
+
+
 def main():
     checks = Checks("platform path")
     with platform_fleet.PlatformFleet() as running:
@@ -156,6 +183,7 @@
         check_leaving_callers(checks, running, router)
         check_endpoints(checks, running, router)
         check_store(checks, running, router)
+        check_stories(checks, running, router)
         checks.true("routers have heard each other", f"fleet: heard {other.name}" in running.log_of(router.name))
         check_reload_and_shutdown(checks, running, router)
         checks.equal("the other router goes on", Caller(other).call("other", "/lookup/1")[0], 200)
