Close connections with their replies once callers have half of the room

A refused caller comes back on a new connection, and its old one stayed open until the idle limit: at 2,300 refusals a second the router had all the connections it may have within seconds, accepted no more, and what came lay unread. 10,834 of 10,933 descriptors were in use. Ruled out: the processor, at 0.15 of a core of 0.32; attempts at unreachable workers, of which that router logged none that took long; a shed of work while the traffic thread is behind, since requests were not read at all. Change: a reply says Connection: close once callers have more than half of the connections.

--- a/src/kumquatbeam/duties/callers_duty.cpp
+++ b/src/kumquatbeam/duties/callers_duty.cpp
@@ -19,6 +19,10 @@
     /// Callers that are let in at once before others get their turn.
     constexpr int acceptedAtOnce = 128;
 
+    /// Part of the connections that callers may have open from which on they are not kept after a reply. A caller that
+    /// was refused comes back on a new connection, and its old one would take room until the idle limit.
+    constexpr double crowdedPart = 0.5;
+
 } // namespace
 
 callers_duty::callers_duty(
@@ -96,6 +100,11 @@
     reportWhenFinished();
 }
 
+bool callers_duty::isCrowded() const
+{
+    return static_cast<double>(m_sessions.size()) > crowdedPart * static_cast<double>(m_settings.callerLimit);
+}
+
 void callers_duty::accept(asio::ip::tcp::acceptor& acceptor)
 {
     acceptor.async_accept([this, &acceptor](boost::system::error_code error, asio::ip::tcp::socket socket) {
--- a/src/kumquatbeam/duties/callers_duty.hpp
+++ b/src/kumquatbeam/duties/callers_duty.hpp
@@ -36,6 +36,7 @@
     void end(caller_session&) override;
     bool isReady() const override { return m_isReady && !m_isDraining; }
     bool isDraining() const override { return m_isDraining; }
+    bool isCrowded() const override;
     time_point earliestArrival() override { return m_arrivals.earliestArrival(); }
     const caller_dialect& dialect() const override { return m_dialect; }
     const caller_limits& limits() const override { return m_limits; }
--- a/src/kumquatbeam/sessions/caller_session.cpp
+++ b/src/kumquatbeam/sessions/caller_session.cpp
@@ -248,7 +248,7 @@
 
 void caller_session::writeReply(const call_reply& reply, bool keepAlive)
 {
-    m_keepAlive = keepAlive && !m_host.isDraining();
+    m_keepAlive = keepAlive && !m_host.isDraining() && !m_host.isCrowded();
     m_isLastQueued = true;
     std::ostringstream text;
     text << m_host.dialect().encodeReply(reply, m_httpVersion, m_keepAlive, clock::now());
--- a/src/kumquatbeam/sessions/caller_session.hpp
+++ b/src/kumquatbeam/sessions/caller_session.hpp
@@ -47,6 +47,9 @@
     /// Whether connections end with their next reply.
     virtual bool isDraining() const = 0;
 
+    /// Whether so many connections are open that new callers will soon find no room. Replies close theirs then.
+    virtual bool isCrowded() const = 0;
+
     /// The time after which bytes that are read now have arrived; the times left that they state count from it.
     virtual time_point earliestArrival() = 0;
 
--- a/tests/scenarios/platform_path.py
+++ b/tests/scenarios/platform_path.py
@@ -152,6 +152,16 @@
     checks.equal("a shutdown ends with code 0", router.process.wait(20), 0)
 
 
+def check_crowd(checks, running, router):
+    callers = [Caller(router) for _ in range(platform_fleet.DESCRIPTORS * 6 // 10 * 6 // 10)]
+    kept = [caller.call(f"crowd-{number}", "/nowhere/1")[1]["Connection"] != "close" for number, caller in enumerate(callers)]
+    checks.true("connections are kept while there is room", all(kept[:100]))
+    checks.true("a reply closes its connection when callers have more than half of the room", not any(kept[-30:]), kept.count(True))
+    for caller in callers:
+        caller.close()
+    checks.equal("other callers go on", Caller(router).call("after-crowd", "/lookup/1")[0], 200)
+
+
 def story_of(running, router, identity):
     """What tools/trace-request says of a request."""
     with tempfile.NamedTemporaryFile("w", suffix=".log") as log:
@@ -184,6 +194,7 @@
         check_endpoints(checks, running, router)
         check_store(checks, running, router)
         check_stories(checks, running, router)
+        check_crowd(checks, running, router)
         checks.true("routers have heard each other", f"fleet: heard {other.name}" in running.log_of(router.name))
         check_reload_and_shutdown(checks, running, router)
         checks.equal("the other router goes on", Caller(other).call("other", "/lookup/1")[0], 200)
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -13,6 +13,10 @@
 HOST = "desk.example"
 
 
+# Descriptors that a router may have; 0.6 of them are for callers.
+DESCRIPTORS = 1000
+
+
 class Caller:
     """One connection of a caller to a router."""
 
@@ -123,6 +127,8 @@
 [listen]
 frontend = "{router.address}:{router.caller_port}"
 readiness = "{router.address}:{router.readiness_port}"
+[limits]
+file_descriptors = {DESCRIPTORS}
 [bounds]
 revocation_ms = 5000
 grace_period_s = 8
