--- a/src/kumquatbeam/decisions/placement/prompt_homes.cpp
+++ b/src/kumquatbeam/decisions/placement/prompt_homes.cpp
@@ -72,7 +72,7 @@
 std::vector<prompt_homes::candidate> prompt_homes::sampleFor(
     const placement_call& call, std::span<const endpoint_standing> endpoints, time_point now) const
 {
-    // The last part is the request's own, so each request draws another sample.
+    // The last part belongs to the request or to its session, so each of these draws a sample of its own.
     const auto own = call.prompt.parts.empty() ? prompt_part_id {} : call.prompt.parts.back().id;
     std::vector<candidate> near;
     std::vector<candidate> far;
