--- a/tests/unit/platform/decoders.tests.cpp
+++ b/tests/unit/platform/decoders.tests.cpp
@@ -182,6 +182,8 @@
     CHECK(settings->seeds == std::vector<std::string> { "10.1.0.33", "10.2.0.18" });
     CHECK(settings->bounds.retryAllowance == 54);
     CHECK(settings->router.drainNotice + settings->router.drainLimit < settings->bounds.gracePeriod);
+    // What is taken in later than 3 s after SIGTERM has to be finished, however long it runs.
+    CHECK(settings->router.drainNotice < std::chrono::milliseconds(3000));
     // The shorter of the times for a change of the configuration and of an endpoint.
     CHECK(settings->bounds.changeInForce == std::chrono::milliseconds(2500));
 }
