--- /dev/null
+++ b/apps/daemon_run.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "exit_code.hpp"
+
+#include "kumquatbeam/duties/operators_duty.hpp"
+#include "kumquatbeam/types/failure.hpp"
+
+#include <iostream>
+#include <vector>
+
+namespace kumquatbeam {
+
+/// Prints the faults of a daemon's settings; returns the exit code for them.
+inline int printFaults(const std::vector<failure>& faults)
+{
+    for (const auto& fault : faults)
+        std::cerr << "settings: " << describe(fault) << "\n";
+    return exitSettings;
+}
+
+/// Listens and serves until a shutdown has ended; returns the exit code. `Process` is a router_process or its like.
+template <typename Process> int runDaemon(Process& process)
+{
+    const auto listening = process.listen();
+    if (!listening.ok()) {
+        std::cerr << listening.message() << "\n";
+        return exitUnreachable;
+    }
+    return process.run() == operators_duty::ending::Finished ? exitOk : exitInterrupted;
+}
+
+} // namespace kumquatbeam
--- a/apps/router.cpp
+++ b/apps/router.cpp
@@ -1,4 +1,4 @@
-#include "exit_code.hpp"
+#include "daemon_run.hpp"
 
 #include "kumquatbeam/decisions/capacity_strategy.hpp"
 #include "kumquatbeam/duties/router_process.hpp"
@@ -8,8 +8,6 @@
 
 #include <docopt/docopt.h>
 
-#include <iostream>
-
 namespace {
 
 constexpr char usage[] = R"(kumquatbeam-router: the router daemon.
@@ -28,13 +26,6 @@
 6 a second signal ended a shutdown early.
 )";
 
-int printFaults(const std::vector<kumquatbeam::failure>& faults)
-{
-    for (const auto& fault : faults)
-        std::cerr << "settings: " << describe(fault) << "\n";
-    return kumquatbeam::exitSettings;
-}
-
 } // namespace
 
 int main(int argc, char** argv)
@@ -53,10 +44,5 @@
     const log_sink sink(*settings);
     log_writer log(settings->logRate);
     router_process process(*settings, drawIncarnation(), log);
-    const auto listening = process.listen();
-    if (!listening.ok()) {
-        std::cerr << listening.message() << "\n";
-        return exitUnreachable;
-    }
-    return process.run() == operators_duty::ending::Finished ? exitOk : exitInterrupted;
+    return runDaemon(process);
 }
--- a/src/kumquatbeam/controllers/controller_loop.cpp
+++ b/src/kumquatbeam/controllers/controller_loop.cpp
@@ -53,10 +53,11 @@
     }
 }
 
-void controller_loop::describe(status_report& report) const
+void controller_loop::answerStatus(const status_requested& query, status_report report, decision_context& context) const
 {
     for (const auto* part : m_controllers)
         part->describe(report);
+    context.commands.send(operator_command { status_reply { query.query, std::move(report) } });
 }
 
 void controller_loop::beginTurn(decision_context& context)
--- a/src/kumquatbeam/controllers/controller_loop.hpp
+++ b/src/kumquatbeam/controllers/controller_loop.hpp
@@ -30,8 +30,8 @@
     /// Handles what has been raised so far.
     void settle(decision_context&);
 
-    /// Has every controller add what an operator wants to see.
-    void describe(status_report&) const;
+    /// Answers an operator, with what every controller adds to the report.
+    void answerStatus(const status_requested&, status_report, decision_context&) const;
 
 private:
     void beginTurn(decision_context&);
--- a/src/kumquatbeam/controllers/decision_core.cpp
+++ b/src/kumquatbeam/controllers/decision_core.cpp
@@ -69,7 +69,10 @@
     const event_handlers handlers {
         [&](const request_arrived& arrived) { filterRequest({ .id = arrived.id, .call = arrived.call }, context); },
         [&](const peer_received& message) { takeForwarded(message, context); },
-        [&](const status_requested& query) { reportStatus(query, context); },
+        [&](const status_requested& query) {
+            m_loop.answerStatus(
+                query, { .self = m_settings.self, .domain = m_settings.domain, .life = m_life }, context);
+        },
     };
     std::visit(handlers, event);
     return true;
@@ -105,11 +108,4 @@
     reply_controller::deliver(request, std::move(reply), context);
 }
 
-void decision_core::reportStatus(const status_requested& query, decision_context& context)
-{
-    status_report report { .self = m_settings.self, .domain = m_settings.domain, .life = m_life };
-    m_loop.describe(report);
-    context.commands.send(operator_command { status_reply { query.query, std::move(report) } });
-}
-
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/decision_core.hpp
+++ b/src/kumquatbeam/controllers/decision_core.hpp
@@ -36,7 +36,6 @@
     bool takeEvent(const decision_event&, decision_context&);
     void takeForwarded(const peer_received&, decision_context&);
     void filterRequest(request_context, decision_context&);
-    void reportStatus(const status_requested&, decision_context&);
 
     router_settings m_settings;
     incarnation m_life;
--- a/src/kumquatbeam/controllers/decision_log.hpp
+++ b/src/kumquatbeam/controllers/decision_log.hpp
@@ -10,10 +10,10 @@
 
 namespace kumquatbeam {
 
-/// The route table by which a request was decided. Unset where no route table assigns requests to pools.
+/// The route table by which a request was decided.
 struct decision_basis {
     revision routes {};
-    /// Time since the start of the read that last showed the table; unset before the first.
+    /// Time since the start of the read that last showed the table; unset where there is no table.
     std::optional<std::chrono::milliseconds> age {};
 };
 
@@ -34,7 +34,7 @@
     int attempt = 1;
     /// Time until the endpoint turns to the call, as far as was known.
     std::chrono::microseconds wait { 0 };
-    std::optional<decision_basis> basis {};
+    decision_basis basis {};
 };
 
 /// A request was ended without an endpoint.
@@ -46,7 +46,7 @@
     pool_id pool;
     std::string_view decidedBy;
     failure problem;
-    std::optional<decision_basis> basis {};
+    decision_basis basis {};
 };
 
 /// A request that was given to endpoints has had its end.
--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -112,9 +112,8 @@
     if (auto* pool = poolOf(request))
         pool->recordAdmitted(request, context.now);
     running_call call { .context = request, .arrivedAt = context.now, .endpoint = {}, .toRead = {} };
-    auto copy = call;
-    if (!start(std::move(call), context))
-        end(std::move(copy), notRun({ failure_kind::NoEndpoint }), { .id = request.id }, context);
+    if (!start(call, context))
+        end(std::move(call), notRun({ failure_kind::NoEndpoint }), { .id = request.id }, context);
 }
 
 void dispatch_controller::recordAsked(const request_context& request, time_point now)
@@ -124,7 +123,7 @@
         pool->recordAsked(request, now);
 }
 
-bool dispatch_controller::start(running_call call, decision_context& context)
+bool dispatch_controller::start(running_call& call, decision_context& context)
 {
     auto* pool = poolOf(call.context);
     if (!pool)
@@ -219,7 +218,7 @@
         break;
     case attempt_verdict::TryAgain:
     case attempt_verdict::Resume:
-        tryAgain(std::move(call), ended, context);
+        tryAgain(std::move(call), facts, ended, context);
         break;
     case attempt_verdict::EndNotRun:
         end(std::move(call), notRun(std::move(problem)), ended, context);
@@ -257,25 +256,24 @@
     return pool && pool->payForRepeat(now);
 }
 
-void dispatch_controller::tryAgain(running_call call, const attempt_ended& ended, decision_context& context)
+void dispatch_controller::tryAgain(
+    running_call call, const attempt_facts& facts, const attempt_ended& ended, decision_context& context)
 {
-    const auto facts = factsOf(call, ended, context.now);
     auto& history = call.before;
     history.sent = facts.attempts;
     history.mayHaveRun = facts.mayHaveRunBefore || !facts.isProvenNotRun;
     history.relayed = facts.relayed;
     history.lastEvent = ended.lastEvent;
     history.tried.insert(ended.endpoint);
-    auto copy = call;
-    if (start(std::move(call), context))
+    if (start(call, context))
         return;
     if (ended.outcome == attempt_outcome::Completed) {
-        answer(std::move(copy), ended, context);
+        answer(std::move(call), ended, context);
         return;
     }
     auto problem = ended.problem.value_or(failure { failure_kind::NoEndpoint });
     const bool hasNotRun = endingAfter(facts) == attempt_verdict::EndNotRun;
-    end(std::move(copy), hasNotRun ? notRun(std::move(problem)) : unknownOutcome(std::move(problem)), ended, context);
+    end(std::move(call), hasNotRun ? notRun(std::move(problem)) : unknownOutcome(std::move(problem)), ended, context);
 }
 
 void dispatch_controller::answer(running_call call, const attempt_ended& ended, decision_context& context)
--- a/src/kumquatbeam/controllers/dispatch_controller.hpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.hpp
@@ -60,14 +60,15 @@
     void refreshPools();
     void admit(const request_context&, decision_context&);
     void recordAsked(const request_context&, time_point now);
-    bool start(running_call, decision_context&);
+    /// Sends a call to an endpoint and keeps it; leaves it alone, and returns false, where no endpoint can take it.
+    bool start(running_call&, decision_context&);
     void begin(request_id, time_point now);
     void abandon(request_id, decision_context&);
     void finishAttempt(const attempt_ended&, decision_context&);
     void settle(running_call, const attempt_ended&, decision_context&);
     attempt_facts factsOf(const running_call&, const attempt_ended&, time_point now) const;
     bool payForRepeat(const running_call&, const attempt_ended&, time_point now);
-    void tryAgain(running_call, const attempt_ended&, decision_context&);
+    void tryAgain(running_call, const attempt_facts&, const attempt_ended&, decision_context&);
     void answer(running_call, const attempt_ended&, decision_context&);
     void end(running_call, call_reply, const attempt_ended&, decision_context&);
     void logOutcome(const running_call&, const attempt_ended&, reply_kind, failure_kind, decision_context&);
--- a/src/kumquatbeam/controllers/routing_core.cpp
+++ b/src/kumquatbeam/controllers/routing_core.cpp
@@ -46,7 +46,10 @@
 {
     const event_handlers handlers {
         [&](const request_arrived& arrived) { filterRequest(arrived, context); },
-        [&](const status_requested& query) { reportStatus(query, context); },
+        [&](const status_requested& query) {
+            m_loop.answerStatus(
+                query, { .self = m_settings.self, .domain = m_settings.domain, .life = m_life }, context);
+        },
         [&](const settings_reloaded& reloaded) {
             m_bounds = reloaded.bounds;
             context.log.changed({ "settings", "reloaded", "seeds=" + std::to_string(reloaded.seeds.size()) });
@@ -77,11 +80,4 @@
     reply_controller::deliver(request, std::move(reply), context);
 }
 
-void routing_core::reportStatus(const status_requested& query, decision_context& context)
-{
-    status_report report { .self = m_settings.self, .domain = m_settings.domain, .life = m_life };
-    m_loop.describe(report);
-    context.commands.send(operator_command { status_reply { query.query, std::move(report) } });
-}
-
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/routing_core.hpp
+++ b/src/kumquatbeam/controllers/routing_core.hpp
@@ -29,7 +29,6 @@
 private:
     bool takeEvent(const decision_event&, decision_context&);
     void filterRequest(const request_arrived&, decision_context&);
-    void reportStatus(const status_requested&, decision_context&);
 
     router_settings m_settings;
     route_bounds m_bounds;
--- a/src/kumquatbeam/runtime/log_writer.cpp
+++ b/src/kumquatbeam/runtime/log_writer.cpp
@@ -32,11 +32,11 @@
     using queued_sink = logging::sinks::asynchronous_sink<logging::sinks::text_ostream_backend,
         logging::sinks::bounded_fifo_queue<queuedLines, logging::sinks::drop_on_overflow>>;
 
-    std::string textOf(const std::optional<decision_basis>& basis)
+    std::string textOf(const decision_basis& basis)
     {
-        if (!basis || !basis->age)
+        if (!basis.age)
             return {};
-        return " routes=" + std::to_string(basis->routes.value) + " age-ms=" + std::to_string(basis->age->count());
+        return " routes=" + std::to_string(basis.routes.value) + " age-ms=" + std::to_string(basis.age->count());
     }
 
     logging::trivial::severity_level severityOf(log_level level)
--- /dev/null
+++ b/tests/unit/directory_controller.tests.cpp
@@ -0,0 +1,56 @@
+#include "routing_fixture.hpp"
+
+using namespace kumquatbeam;
+
+TEST_CASE_FIXTURE(routing_fixture, "A draining endpoint gets nothing more, also when an old entry shows up [routing]")
+{
+    publish(table(1));
+    auto leaving = endpoint("b1", "book");
+    leaving.isDraining = true;
+    announce({ leaving, endpoint("b2", "book") });
+    announce({ endpoint("b1", "book"), endpoint("b2", "book") });
+    for (int i = 0; i < 6; ++i) {
+        ask("/lookup/1");
+        CHECK(lastAttempt()->to.endpoint.value == "b2");
+    }
+    announce({ endpoint("b1", "book", 2) });
+    ask("/lookup/1");
+    CHECK(lastAttempt()->to.endpoint.value == "b1");
+}
+
+TEST_CASE_FIXTURE(routing_fixture, "An endpoint that is missing after an outage is kept for a moment [routing]")
+{
+    publish(table(1));
+    announce({ endpoint("b1", "book") });
+    pass(std::chrono::seconds(4));
+    publish(table(1));
+    announce({});
+    ask("/lookup/1");
+    CHECK(attempts() == 1);
+    pass(std::chrono::milliseconds(1000));
+    publish(table(1));
+    announce({});
+    ask("/lookup/1");
+    CHECK(attempts() == 2);
+    pass(std::chrono::milliseconds(1300));
+    CHECK(replyTo(ask("/lookup/1"))->problem->kind == failure_kind::NoEndpoint);
+}
+
+TEST_CASE_FIXTURE(routing_fixture, "An endpoint that is missing without an outage is gone at once [routing]")
+{
+    serve();
+    pass(std::chrono::milliseconds(900));
+    announce({ endpoint("e1", "desk") });
+    CHECK(replyTo(ask("/lookup/1"))->problem->kind == failure_kind::NoEndpoint);
+}
+
+TEST_CASE_FIXTURE(routing_fixture, "Reads that are as far apart as slow bounds allow are no outage [routing]")
+{
+    auto slow = bounds();
+    slow.changeInForce = std::chrono::milliseconds(3000);
+    handle(settings_reloaded { slow, {} });
+    serve();
+    pass(std::chrono::milliseconds(1610));
+    announce({ endpoint("e1", "desk") });
+    CHECK(replyTo(ask("/lookup/1"))->problem->kind == failure_kind::NoEndpoint);
+}
--- /dev/null
+++ b/tests/unit/routing_fixture.hpp
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "kumquatbeam/controllers/routing_core.hpp"
+#include "kumquatbeam/types/credential_digest.hpp"
+#include "recorded_commands.hpp"
+
+#include <doctest/doctest.h>
+
+namespace kumquatbeam {
+
+/// A routing core with one engine pool and one plain pool; its clock is set by hand.
+class routing_fixture {
+public:
+    routing_fixture()
+        : core(settings(), bounds(), {}, { 11 }, outlet, log)
+    {
+    }
+
+    static route_bounds bounds()
+    {
+        route_bounds bounds;
+        bounds.keyRevocation = std::chrono::seconds(5);
+        bounds.retryAllowance = 10;
+        return bounds;
+    }
+
+    static router_settings settings()
+    {
+        router_settings settings;
+        settings.self = { "r1" };
+        settings.domain = { "north" };
+        settings.drainNotice = std::chrono::milliseconds(3000);
+        settings.drainLimit = std::chrono::milliseconds(4000);
+        return settings;
+    }
+
+    static std::shared_ptr<route_table> table(std::uint64_t version)
+    {
+        auto made = std::make_shared<route_table>();
+        made->current = { version };
+        const auto add = [&](const char* id, const char* prefix, call_kind kind, const char* pool, int attempts) {
+            made->routes["desk.example"].push_back({ .id = { id },
+                .host = "desk.example",
+                .pathPrefix = prefix,
+                .kind = kind,
+                .timeout = std::chrono::seconds(8),
+                .objective = std::chrono::milliseconds(600),
+                .attemptLimit = attempts,
+                .splits = { { { pool } } } });
+        };
+        add("lookup", "/lookup/", call_kind::Idempotent, "book", 2);
+        add("order", "/order/", call_kind::NonIdempotent, "book", 2);
+        add("quote", "/quote/", call_kind::Stream, "desk", 1);
+        add("plan", "/plan/", call_kind::ResumableStream, "desk", 2);
+        made->routes["desk.example"].push_back({ .id = { "open" },
+            .host = "desk.example",
+            .pathPrefix = "/open/",
+            .isPublic = true,
+            .splits = { { { "book" } } } });
+        made->pools.emplace(pool_id { "book" }, routed_pool { { "book" } });
+        made->pools.emplace(pool_id { "desk" }, routed_pool { { "desk" }, engine_traits { { 48 }, { 444'000 } } });
+        made->hasAccounts = true;
+        made->accountsByDigest.emplace(credentialDigest("key"), client_account_id { "weavers" });
+        made->index();
+        return made;
+    }
+
+    static announced_endpoint endpoint(const std::string& id, const std::string& pool, std::int64_t life = 1)
+    {
+        return { .id = { id },
+            .pool = { pool },
+            .domain = { "north" },
+            .address = "127.0.0.1",
+            .port = 9,
+            .slots = { 6 },
+            .life = life };
+    }
+
+    void publish(std::shared_ptr<const route_table> routes) { handle(routes_observed { std::move(routes), now }); }
+
+    void announce(const std::vector<announced_endpoint>& endpoints)
+    {
+        endpoint_directory directory;
+        for (const auto& one : endpoints)
+            directory.endpoints.emplace(one.id, one);
+        handle(directory_observed { std::make_shared<const endpoint_directory>(std::move(directory)), now });
+    }
+
+    void serve()
+    {
+        publish(table(1));
+        announce({ endpoint("b1", "book"), endpoint("b2", "book"), endpoint("e1", "desk"), endpoint("e2", "desk") });
+    }
+
+    void handle(const decision_event& event) { core.handle(event, now); }
+
+    void pass(std::chrono::milliseconds time)
+    {
+        now += time;
+        while (core.nextDeadline() <= now)
+            core.onDeadline(now);
+    }
+
+    request_id ask(const std::string& path, const std::string& key = "key")
+    {
+        call_request call;
+        call.label = { "label" + std::to_string(lastRequest + 1) };
+        call.method = "POST";
+        call.authority = "desk.example";
+        call.target = path;
+        call.credential = key;
+        const request_id id { ++lastRequest };
+        handle(request_arrived { id, std::make_shared<const call_request>(std::move(call)) });
+        return id;
+    }
+
+    std::optional<start_attempt> lastAttempt() const
+    {
+        const auto attempts = outlet.all<start_attempt>();
+        return attempts.empty() ? std::nullopt : std::optional(attempts.back());
+    }
+
+    std::optional<call_reply> replyTo(request_id id) const
+    {
+        std::optional<call_reply> last;
+        for (const auto& reply : outlet.all<reply_to_caller>()) {
+            if (reply.id == id)
+                last = reply.reply;
+        }
+        return last;
+    }
+
+    attempt_ended ending(
+        request_id id, attempt_outcome outcome, failure_kind problem = failure_kind::EndpointBroke) const
+    {
+        attempt_ended ended { .id = id, .endpoint = lastAttempt()->to.endpoint, .outcome = outcome };
+        if (outcome == attempt_outcome::Completed)
+            ended.status = { 200 };
+        else
+            ended.problem = failure { problem };
+        return ended;
+    }
+
+    std::size_t attempts() const { return outlet.all<start_attempt>().size(); }
+
+    recorded_commands outlet;
+    recorded_log log;
+    time_point now { std::chrono::hours(1) };
+    std::uint64_t lastRequest = 0;
+    routing_core core;
+};
+
+} // namespace kumquatbeam
