--- a/src/kumquatbeam/codec/event_framer.cpp
+++ b/src/kumquatbeam/codec/event_framer.cpp
@@ -1,6 +1,8 @@
 #include "kumquatbeam/codec/event_framer.hpp"
 
-#include <boost/lexical_cast/try_lexical_convert.hpp>
+#include "kumquatbeam/types/number_text.hpp"
+
+#include <limits>
 
 namespace kumquatbeam {
 
@@ -38,9 +40,9 @@
                 text.remove_prefix(1);
             if (text.ends_with('\r'))
                 text.remove_suffix(1);
-            std::uint64_t number = 0;
-            if (boost::conversion::try_lexical_convert(text, number))
-                return event_number { number };
+            if (const auto number
+                = parseWholeNumber<std::uint64_t>(text, { 0, std::numeric_limits<std::uint64_t>::max() }))
+                return event_number { *number };
         }
         return std::nullopt;
     }
--- a/src/kumquatbeam/codec/http_call.cpp
+++ b/src/kumquatbeam/codec/http_call.cpp
@@ -2,9 +2,9 @@
 
 #include "kumquatbeam/codec/http_names.hpp"
 #include "kumquatbeam/types/failure.hpp"
+#include "kumquatbeam/types/number_text.hpp"
 
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/lexical_cast/try_lexical_convert.hpp>
 
 #include <algorithm>
 #include <array>
@@ -91,10 +91,10 @@
     {
         if (text.empty())
             return absl::OkStatus();
-        std::int64_t remaining = 0;
-        if (!boost::conversion::try_lexical_convert(text, remaining) || remaining < 0 || remaining > maxDeadlineMs)
+        const auto remaining = parseWholeNumber<std::int64_t>(text, { 0, maxDeadlineMs });
+        if (!remaining)
             return malformed(deadlineField, text, "0 to 3600000 ms");
-        call.deadline = now + std::chrono::milliseconds(remaining);
+        call.deadline = now + std::chrono::milliseconds(*remaining);
         return absl::OkStatus();
     }
 
--- a/src/kumquatbeam/codec/peer_codec.cpp
+++ b/src/kumquatbeam/codec/peer_codec.cpp
@@ -3,6 +3,7 @@
 #include "kumquatbeam/codec/generated/peer_frames_generated.h"
 #include "kumquatbeam/types/failure.hpp"
 #include "kumquatbeam/types/invariant.hpp"
+#include "kumquatbeam/types/number_text.hpp"
 
 #include <boost/endian/conversion.hpp>
 
@@ -20,6 +21,15 @@
 
     constexpr std::int64_t noDeadline = -1;
 
+    /// @{ Ranges of the numbers in a frame. A frame with a number out of range is refused, since sums and deadlines
+    /// made of it could overflow.
+    constexpr number_range<std::int64_t> remainingRange { 0,
+        std::chrono::milliseconds(std::chrono::hours(24)).count() };
+    constexpr number_range<std::int64_t> callRange { 0, 1'000'000 };
+    constexpr number_range<std::int64_t> tokenRange { 0, 1'000'000'000'000 };
+    constexpr number_range<std::int64_t> serviceRange { -1'000'000'000'000'000, 1'000'000'000'000'000 };
+    /// @}
+
     /// A packed body and the tag of its type.
     struct tagged_body {
         frames::body tag;
@@ -37,7 +47,7 @@
     {
         if (remaining < 0)
             return std::nullopt;
-        return now + std::chrono::milliseconds(remaining);
+        return now + std::chrono::milliseconds(std::min(remaining, remainingRange.highest));
     }
 
     flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> packBytes(builder& out, const std::string& bytes)
@@ -250,8 +260,11 @@
     {
         slot_report message { { body.pool() }, { body.document() }, {}, {} };
         if (body.accounts()) {
-            for (const auto* row : *body.accounts())
+            for (const auto* row : *body.accounts()) {
+                if (!serviceRange.contains(row->served()))
+                    return std::nullopt;
                 message.accounts.push_back({ { row->account() }, row->waiting(), row->running(), { row->served() } });
+            }
         }
         if (body.endpoints()) {
             for (const auto* row : *body.endpoints())
@@ -262,15 +275,23 @@
 
     std::optional<peer_message> unpack(const frames::slot_grant& body, time_point)
     {
+        if (!remainingRange.contains(body.remaining_ms()))
+            return std::nullopt;
         slot_grant message { { body.pool() }, { body.document() }, body.sequence(),
             std::chrono::milliseconds(body.remaining_ms()), {}, {} };
         if (body.accounts()) {
-            for (const auto* row : *body.accounts())
+            for (const auto* row : *body.accounts()) {
+                if (!serviceRange.contains(row->lead()))
+                    return std::nullopt;
                 message.accounts.push_back({ { row->account() }, row->quota(), { row->lead() } });
+            }
         }
         if (body.endpoints()) {
-            for (const auto* row : *body.endpoints())
+            for (const auto* row : *body.endpoints()) {
+                if (!callRange.contains(row->leased()))
+                    return std::nullopt;
                 message.endpoints.push_back({ { row->endpoint() }, { static_cast<std::int32_t>(row->leased()) } });
+            }
         }
         return message;
     }
@@ -289,8 +310,11 @@
                 message.knownRouters.push_back({ { unpackText(row->id()) }, unpackText(row->address()) });
         }
         if (body.endpoints()) {
-            for (const auto* row : *body.endpoints())
+            for (const auto* row : *body.endpoints()) {
+                if (!callRange.contains(row->running()) || !tokenRange.contains(row->to_read()))
+                    return std::nullopt;
                 message.endpoints.push_back({ { row->endpoint() }, row->running(), { row->to_read() } });
+            }
         }
         if (body.accounts()) {
             for (const auto* row : *body.accounts())
@@ -300,27 +324,33 @@
         return message;
     }
 
+    /// A frame may name the type of a body and leave the body out.
+    template <typename Body> std::optional<peer_message> unpackIfPresent(const Body* body, time_point now)
+    {
+        return body ? unpack(*body, now) : std::nullopt;
+    }
+
     std::optional<peer_message> unpackBody(const frames::frame& frame, time_point now)
     {
         switch (frame.body_type()) {
         case frames::body::greeting:
-            return unpack(*frame.body_as_greeting(), now);
+            return unpackIfPresent(frame.body_as_greeting(), now);
         case frames::body::heartbeat:
-            return unpack(*frame.body_as_heartbeat(), now);
+            return unpackIfPresent(frame.body_as_heartbeat(), now);
         case frames::body::document_request:
-            return unpack(*frame.body_as_document_request(), now);
+            return unpackIfPresent(frame.body_as_document_request(), now);
         case frames::body::document_offer:
-            return unpack(*frame.body_as_document_offer(), now);
+            return unpackIfPresent(frame.body_as_document_offer(), now);
         case frames::body::order_forward:
-            return unpack(*frame.body_as_order_forward(), now);
+            return unpackIfPresent(frame.body_as_order_forward(), now);
         case frames::body::order_outcome:
-            return unpack(*frame.body_as_order_outcome(), now);
+            return unpackIfPresent(frame.body_as_order_outcome(), now);
         case frames::body::slot_report:
-            return unpack(*frame.body_as_slot_report(), now);
+            return unpackIfPresent(frame.body_as_slot_report(), now);
         case frames::body::slot_grant:
-            return unpack(*frame.body_as_slot_grant(), now);
+            return unpackIfPresent(frame.body_as_slot_grant(), now);
         case frames::body::fleet_beat:
-            return unpack(*frame.body_as_fleet_beat(), now);
+            return unpackIfPresent(frame.body_as_fleet_beat(), now);
         case frames::body::NONE:
             break;
         }
--- a/src/kumquatbeam/settings/setting_row.cpp
+++ b/src/kumquatbeam/settings/setting_row.cpp
@@ -1,5 +1,9 @@
 #include "kumquatbeam/settings/setting_row.hpp"
 
+#include "kumquatbeam/types/number_text.hpp"
+
+#include <limits>
+
 namespace kumquatbeam {
 
 std::string describeRange(const setting_range& range, std::string_view unit)
@@ -37,12 +41,13 @@
 
 std::optional<failure> parseSetting(std::int64_t& member, const std::string& text, const setting_range& range)
 {
-    std::int64_t number = 0;
-    if (!boost::conversion::try_lexical_convert(text, number))
+    using limits = std::numeric_limits<std::int64_t>;
+    const auto number = parseWholeNumber<std::int64_t>(text, { limits::min(), limits::max() });
+    if (!number)
         return failure { failure_kind::MalformedValue, "", text, "a whole number" };
-    if (number < range.lowest || number > range.highest)
+    if (*number < range.lowest || *number > range.highest)
         return failure { failure_kind::ValueOutOfRange, "", text };
-    member = number;
+    member = *number;
     return std::nullopt;
 }
 
--- a/src/kumquatbeam/settings/setting_row.hpp
+++ b/src/kumquatbeam/settings/setting_row.hpp
@@ -4,8 +4,6 @@
 #include "kumquatbeam/types/failure.hpp"
 #include "kumquatbeam/types/strong_value.hpp"
 
-#include <boost/lexical_cast/try_lexical_convert.hpp>
-
 #include <array>
 #include <chrono>
 #include <cstdint>
--- a/tests/unit/event_framer.tests.cpp
+++ b/tests/unit/event_framer.tests.cpp
@@ -57,3 +57,13 @@
         CHECK_FALSE(framer.hasPartialEvent());
     }
 }
+
+TEST_CASE("An event number that is not a whole number in range does not count [event_framer]")
+{
+    for (const char* number : { "-1", "+9", "1e3", "18446744073709551616", "7 8" }) {
+        event_framer framer(event_number { 3 });
+        framer.append("id: " + std::string(number) + "\ndata: x\n\n");
+        CHECK_FALSE(framer.takeCompleteEvents().empty());
+        CHECK(framer.last() == event_number { 3 });
+    }
+}
--- a/tests/unit/peer_codec.tests.cpp
+++ b/tests/unit/peer_codec.tests.cpp
@@ -1,9 +1,12 @@
 #include "kumquatbeam/codec/peer_codec.hpp"
 
+#include "kumquatbeam/codec/generated/peer_frames_generated.h"
 #include "kumquatbeam/types/failure.hpp"
 
 #include <doctest/doctest.h>
 
+#include <limits>
+
 namespace {
 
 using namespace kumquatbeam;
@@ -80,3 +83,28 @@
         static_cast<void>(decodeFrame(bytes.substr(0, offset), now));
     }
 }
+
+TEST_CASE("A frame that names the type of a body and leaves the body out is refused [peer_codec]")
+{
+    for (int tag = 0; tag <= static_cast<int>(frames::body::MAX); ++tag) {
+        flatbuffers::FlatBufferBuilder out;
+        frames::frameBuilder frame(out);
+        frame.add_body_type(static_cast<frames::body>(tag));
+        out.Finish(frame.Finish());
+        const std::string bytes(reinterpret_cast<const char*>(out.GetBufferPointer()), out.GetSize());
+        CHECK_FALSE(decodeFrame(bytes, time_point {}).ok());
+    }
+}
+
+TEST_CASE("A heartbeat with a number out of range is refused [peer_codec]")
+{
+    const auto isAccepted = [](std::uint32_t running, std::int64_t tokens) {
+        fleet_heartbeat heartbeat { .from = { "r2" } };
+        heartbeat.endpoints.push_back({ { 7 }, running, { tokens } });
+        return decodeFrame(encodeFrame(heartbeat, time_point {}).substr(frameLengthSize), time_point {}).ok();
+    };
+    CHECK(isAccepted(48, 100'000));
+    CHECK_FALSE(isAccepted(4'000'000'000, 100'000));
+    CHECK_FALSE(isAccepted(48, -1));
+    CHECK_FALSE(isAccepted(48, std::numeric_limits<std::int64_t>::max()));
+}
