--- a/apps/daemon_run.hpp
+++ b/apps/daemon_run.hpp
@@ -5,6 +5,7 @@
 #include "kumquatbeam/duties/operators_duty.hpp"
 #include "kumquatbeam/types/failure.hpp"
 
+#include <csignal>
 #include <iostream>
 #include <vector>
 
@@ -21,6 +22,8 @@
 /// Listens and serves until a shutdown ends, and returns the exit code. `Process` has the interface of router_process.
 template <typename Process> int runDaemon(Process& process)
 {
+    // A reader of standard output that goes away ends the log, not the daemon.
+    std::signal(SIGPIPE, SIG_IGN);
     const auto listening = process.listen();
     if (!listening.ok()) {
         std::cerr << listening.message() << "\n";
--- a/src/kumquatbeam/duties/callers_duty.cpp
+++ b/src/kumquatbeam/duties/callers_duty.cpp
@@ -101,6 +101,14 @@
     reportWhenFinished();
 }
 
+bool callers_duty::canAcceptCaller()
+{
+    const auto limit = static_cast<std::size_t>(m_settings.callerLimit);
+    if (m_sessions.size() >= limit)
+        std::erase_if(m_sessions, [](const auto& entry) { return entry.second.expired(); });
+    return m_sessions.size() < limit;
+}
+
 bool callers_duty::isNearCallerLimit() const
 {
     return static_cast<double>(m_sessions.size()) > nearLimitFraction * static_cast<double>(m_settings.callerLimit);
@@ -111,10 +119,11 @@
     acceptor.async_accept([this, &acceptor](boost::system::error_code error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted || !acceptor.is_open())
             return;
-        if (!error) {
-            startSession(std::move(socket));
-            acceptQueued(acceptor);
-        }
+        if (!error)
+            runContained("callers", [&] {
+                startSession(std::move(socket));
+                acceptQueued(acceptor);
+            });
         if (canAcceptCaller() || &acceptor == &m_readinessAcceptor)
             accept(acceptor);
         else
@@ -159,6 +168,8 @@
 void callers_duty::finish()
 {
     m_isFinishing = true;
+    // A session whose operation ended in an exception is gone without a call of `onConnectionClosed`.
+    std::erase_if(m_sessions, [](const auto& entry) { return entry.second.expired(); });
     const auto sessions = m_sessions;
     for (const auto& [key, weak] : sessions) {
         if (const auto session = weak.lock())
--- a/src/kumquatbeam/duties/callers_duty.hpp
+++ b/src/kumquatbeam/duties/callers_duty.hpp
@@ -42,7 +42,7 @@
     const caller_limits& limits() const override { return m_limits; }
 
     void accept(boost::asio::ip::tcp::acceptor&);
-    bool canAcceptCaller() const { return m_sessions.size() < static_cast<std::size_t>(m_settings.callerLimit); }
+    bool canAcceptCaller();
     void acceptQueued(boost::asio::ip::tcp::acceptor&);
     void startSession(boost::asio::ip::tcp::socket);
     void stopAccepting();
--- a/src/kumquatbeam/duties/decisions_duty.hpp
+++ b/src/kumquatbeam/duties/decisions_duty.hpp
@@ -32,12 +32,16 @@
     void send(operator_command) override;
 
     void handle(const decision_event&);
+    void onDeadline();
+    void failRequestOf(const decision_event&);
     void armTimer();
 
     duty_links& m_links;
     duty<decision_event> m_duty;
     deadline_timer m_timer;
     time_point m_armedFor = never;
+    /// Set after an unexpected error at a deadline, which would otherwise be due again at once.
+    time_point m_retryDeadlineAt = time_point::min();
     std::unique_ptr<decision_engine> m_engine;
 };
 
--- a/src/kumquatbeam/duties/heartbeats_duty.cpp
+++ b/src/kumquatbeam/duties/heartbeats_duty.cpp
@@ -91,7 +91,7 @@
             if (error == asio::error::operation_aborted)
                 return;
             if (!error)
-                handleDatagram(size);
+                runContained("heartbeats", [&] { handleDatagram(size); });
             receive();
         });
 }
--- a/src/kumquatbeam/duties/operators_duty.cpp
+++ b/src/kumquatbeam/duties/operators_duty.cpp
@@ -91,7 +91,7 @@
         if (error == asio::error::operation_aborted)
             return;
         if (!error)
-            std::make_shared<operator_session>(std::move(socket), *this)->start();
+            runContained("operators", [&] { std::make_shared<operator_session>(std::move(socket), *this)->start(); });
         accept();
     });
 }
--- a/src/kumquatbeam/duties/peers_duty.cpp
+++ b/src/kumquatbeam/duties/peers_duty.cpp
@@ -102,7 +102,7 @@
             return;
         boost::system::error_code ignored;
         if (!error && isMemberAddress(socket.remote_endpoint(ignored).address()))
-            std::make_shared<peer_session>(std::move(socket), *this)->start();
+            runContained("peers", [&] { std::make_shared<peer_session>(std::move(socket), *this)->start(); });
         accept();
     });
 }
--- a/src/kumquatbeam/platform/platform_watch.cpp
+++ b/src/kumquatbeam/platform/platform_watch.cpp
@@ -1,13 +1,15 @@
 #include "kumquatbeam/platform/platform_watch.hpp"
 
 #include "kumquatbeam/codec/http_names.hpp"
+#include "kumquatbeam/runtime/containment.hpp"
 #include "kumquatbeam/sessions/connect.hpp"
+#include "kumquatbeam/types/number_text.hpp"
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <boost/lexical_cast/try_lexical_convert.hpp>
 
 #include <chrono>
+#include <limits>
 #include <utility>
 
 namespace kumquatbeam {
@@ -45,6 +47,17 @@
     poll();
 }
 
+void platform_watch::endUnexpectedly()
+{
+    retryLater();
+}
+
+template <typename Step> auto platform_watch::handlerOf(Step step)
+{
+    return contained(
+        shared_from_this(), [step](platform_watch& self, beast::error_code error, auto...) { (self.*step)(error); });
+}
+
 void platform_watch::poll()
 {
     m_stream.emplace(m_context);
@@ -63,7 +76,7 @@
     m_parser.emplace();
     m_parser->body_limit(textLimit);
     m_stream->expires_after(longPollTimeout);
-    m_stream->async_connect(*remote, [self = shared_from_this()](beast::error_code failed) { self->send(failed); });
+    m_stream->async_connect(*remote, handlerOf(&platform_watch::send));
 }
 
 void platform_watch::send(beast::error_code error)
@@ -72,8 +85,7 @@
         retryLater();
         return;
     }
-    http::async_write(*m_stream, m_request,
-        [self = shared_from_this()](beast::error_code failed, std::size_t) { self->receive(failed); });
+    http::async_write(*m_stream, m_request, handlerOf(&platform_watch::receive));
 }
 
 void platform_watch::receive(beast::error_code error)
@@ -82,8 +94,7 @@
         retryLater();
         return;
     }
-    http::async_read(*m_stream, m_buffer, *m_parser,
-        [self = shared_from_this()](beast::error_code failed, std::size_t) { self->handleResponse(failed); });
+    http::async_read(*m_stream, m_buffer, *m_parser, handlerOf(&platform_watch::handleResponse));
 }
 
 void platform_watch::handleResponse(beast::error_code error)
@@ -97,16 +108,15 @@
         poll();
         return;
     }
-    revision revisionNumber;
-    const auto revisionText = response[revisionField];
-    const bool isNewer = response.result() == http::status::ok
-        && boost::conversion::try_lexical_convert(revisionText, revisionNumber.value)
-        && revisionNumber > m_seenRevision;
-    if (!isNewer || !m_receiver(revisionNumber, std::move(response.body()))) {
+    const auto text = response[revisionField];
+    const auto number = parseWholeNumber<std::uint64_t>(
+        { text.data(), text.size() }, { m_seenRevision.value + 1, std::numeric_limits<std::uint64_t>::max() - 1 });
+    const bool isNewer = response.result() == http::status::ok && number;
+    if (!isNewer || !m_receiver({ *number }, std::move(response.body()))) {
         retryLater();
         return;
     }
-    m_seenRevision = revisionNumber;
+    m_seenRevision = { *number };
     poll();
 }
 
@@ -115,10 +125,10 @@
     m_stream.reset();
     std::uniform_int_distribution<std::int64_t> pauses(minRetryDelay.count(), maxRetryDelay.count());
     m_retryTimer.expires_after(std::chrono::milliseconds(pauses(m_random)));
-    m_retryTimer.async_wait([self = shared_from_this()](beast::error_code error) {
+    m_retryTimer.async_wait(contained(shared_from_this(), [](platform_watch& self, beast::error_code error) {
         if (!error)
-            self->poll();
-    });
+            self.poll();
+    }));
 }
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/runtime/duty.hpp
+++ b/src/kumquatbeam/runtime/duty.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kumquatbeam/runtime/bounded_ring.hpp"
+#include "kumquatbeam/runtime/containment.hpp"
 #include "kumquatbeam/runtime/duty_thread.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -75,7 +76,7 @@
     {
         m_ring.drainInto(m_batch);
         for (auto& message : m_batch)
-            m_handler(std::move(message));
+            runContained(m_thread.name(), [&] { m_handler(std::move(message)); });
         m_batch.clear();
     }
 
--- a/src/kumquatbeam/runtime/duty_thread.cpp
+++ b/src/kumquatbeam/runtime/duty_thread.cpp
@@ -1,5 +1,7 @@
 #include "kumquatbeam/runtime/duty_thread.hpp"
 
+#include "kumquatbeam/runtime/containment.hpp"
+
 #include <pthread.h>
 
 #include <utility>
@@ -30,7 +32,9 @@
 
 void duty_thread::start()
 {
-    m_thread = std::thread([this] { m_context.run(); });
+    m_thread = std::thread([this] {
+        while (!runContained(m_name, [this] { m_context.run(); })) { }
+    });
     pthread_setname_np(m_thread.native_handle(), m_name.substr(0, threadNameLimit).c_str());
 }
 
--- a/src/kumquatbeam/runtime/duty_thread.hpp
+++ b/src/kumquatbeam/runtime/duty_thread.hpp
@@ -8,7 +8,8 @@
 
 namespace kumquatbeam {
 
-/// A named thread that runs one I/O context until it is stopped.
+/// A named thread that runs one I/O context until it is stopped. An exception that leaves a handler is logged, and the
+/// thread goes on with the next handler.
 class duty_thread {
 public:
     explicit duty_thread(std::string name);
@@ -18,6 +19,7 @@
     duty_thread& operator=(const duty_thread&) = delete;
 
     boost::asio::io_context& context() { return m_context; }
+    const std::string& name() const { return m_name; }
 
     void start();
     void stop();
--- a/src/kumquatbeam/runtime/log_writer.cpp
+++ b/src/kumquatbeam/runtime/log_writer.cpp
@@ -1,5 +1,7 @@
 #include "kumquatbeam/runtime/log_writer.hpp"
 
+#include "kumquatbeam/types/excerpt.hpp"
+
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
@@ -10,6 +12,7 @@
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/trivial.hpp>
+#include <boost/log/utility/exception_handler.hpp>
 #include <boost/make_shared.hpp>
 
 #include <algorithm>
@@ -86,7 +89,7 @@
     BOOST_LOG_TRIVIAL(info) << record.decidedBy << ": refused request=" << record.request.value
                             << " id=" << record.callerRequestId.value << " account=" << record.account.value
                             << " pool=" << record.pool.value << " failure=" << nameOf(record.problem.kind)
-                            << " because=\"" << describe(record.problem) << "\"" << textOf(record.basis);
+                            << " because=\"" << excerptOf(describe(record.problem)) << "\"" << textOf(record.basis);
 }
 
 void log_writer::ended(const outcome_record& record)
@@ -105,14 +108,14 @@
 void log_writer::changed(const change_record& record)
 {
     if (acquireLine())
-        BOOST_LOG_TRIVIAL(info) << record.part << ": " << record.change << " " << record.subject;
+        BOOST_LOG_TRIVIAL(info) << record.part << ": " << record.change << " " << excerptOf(record.subject);
 }
 
 void log_writer::failed(std::string_view part, const failure& problem)
 {
     if (acquireLine())
-        BOOST_LOG_TRIVIAL(warning) << part << ": failure=" << nameOf(problem.kind) << " because=\"" << describe(problem)
-                                   << "\"";
+        BOOST_LOG_TRIVIAL(warning) << part << ": failure=" << nameOf(problem.kind) << " because=\""
+                                   << excerptOf(describe(problem)) << "\"";
 }
 
 bool log_writer::acquireLine()
@@ -152,6 +155,7 @@
     backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
     backend->auto_flush(true);
     const auto sink = boost::make_shared<queued_sink>(backend);
+    sink->set_exception_handler(logging::make_exception_suppressor());
     namespace expr = logging::expressions;
     sink->set_formatter(
         expr::stream << expr::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%dT%H:%M:%S.%f") << " "
--- a/src/kumquatbeam/sessions/caller_session.cpp
+++ b/src/kumquatbeam/sessions/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "kumquatbeam/sessions/caller_session.hpp"
 
 #include "kumquatbeam/filters/request_filter.hpp"
+#include "kumquatbeam/runtime/containment.hpp"
 #include "kumquatbeam/runtime/deadline_timer.hpp"
 
 #include <boost/asio/write.hpp>
@@ -8,6 +9,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <sstream>
 #include <string_view>
@@ -27,13 +29,13 @@
     constexpr std::chrono::milliseconds overloadRetryDelay { 500 };
 
     constexpr std::chrono::seconds discardTimeout { 2 };
-    constexpr std::size_t discardSize = 64 * 1024;
     constexpr unsigned http11 = 11;
 
-    /// Maximum bytes of pipelined requests that are read while a request is in progress.
-    constexpr std::size_t pipelinedLimit = 64 * 1024;
     constexpr std::size_t pipelinedReadSize = 4096;
 
+    /// Bytes of pipelined requests from which no more are read while a request is in progress.
+    constexpr std::size_t pipelinedLimit = messageBufferLimit - pipelinedReadSize;
+
     /// Fits a typical request, so that a single read suffices.
     constexpr std::size_t initialBufferSize = 16 * 1024;
 
@@ -90,16 +92,30 @@
         closeConnection();
 }
 
+void caller_session::endUnexpectedly()
+{
+    if (m_request)
+        abandonRequest();
+    else
+        closeConnection();
+}
+
+template <typename Step> auto caller_session::handlerOf(Step step)
+{
+    return contained(
+        shared_from_this(), [step](caller_session& self, beast::error_code error, auto...) { (self.*step)(error); });
+}
+
 void caller_session::readRequest()
 {
     m_isReading = true;
     m_parser.emplace();
     m_parser->eager(true);
-    m_parser->header_limit(static_cast<std::uint32_t>(m_delegate.limits().header.value));
+    m_parser->header_limit(
+        static_cast<std::uint32_t>(std::min<std::uint64_t>(m_delegate.limits().header.value, headLimit)));
     m_parser->body_limit(m_delegate.limits().body.value);
     m_stream.expires_after(m_delegate.limits().idleTimeout);
-    http::async_read_some(m_stream, m_buffer, *m_parser,
-        [self = shared_from_this()](beast::error_code error, std::size_t) { self->onFirstBytes(error); });
+    http::async_read_some(m_stream, m_buffer, *m_parser, handlerOf(&caller_session::onFirstBytes));
 }
 
 void caller_session::onFirstBytes(beast::error_code error)
@@ -109,8 +125,7 @@
         return;
     }
     m_stream.expires_after(m_delegate.limits().headerTimeout);
-    http::async_read_header(m_stream, m_buffer, *m_parser,
-        [self = shared_from_this()](beast::error_code failed, std::size_t) { self->onHeader(failed); });
+    http::async_read_header(m_stream, m_buffer, *m_parser, handlerOf(&caller_session::onHeader));
 }
 
 void caller_session::onHeader(beast::error_code error)
@@ -130,19 +145,20 @@
 void caller_session::sendContinue()
 {
     static constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
-    asio::async_write(
-        m_stream, asio::buffer(continueResponse), [self = shared_from_this()](beast::error_code error, std::size_t) {
-            if (error)
-                self->onRead(error);
-            else
-                self->readBody();
-        });
+    asio::async_write(m_stream, asio::buffer(continueResponse), handlerOf(&caller_session::onContinueSent));
+}
+
+void caller_session::onContinueSent(beast::error_code error)
+{
+    if (error)
+        onRead(error);
+    else
+        readBody();
 }
 
 void caller_session::readBody()
 {
-    http::async_read(m_stream, m_buffer, *m_parser,
-        [self = shared_from_this()](beast::error_code error, std::size_t) { self->onRead(error); });
+    http::async_read(m_stream, m_buffer, *m_parser, handlerOf(&caller_session::onRead));
 }
 
 void caller_session::onRead(beast::error_code error)
@@ -218,20 +234,27 @@
 void caller_session::watchForDisconnect()
 {
     m_stream.socket().async_wait(asio::socket_base::wait_read,
-        [self = shared_from_this(), watchedRequest = *m_request](beast::error_code error) {
-            if (error || self->m_request != watchedRequest)
-                return;
-            if (!self->readPipelined())
-                self->abandonRequest();
-            else if (self->m_buffer.size() < pipelinedLimit)
-                self->watchForDisconnect();
-        });
+        contained(shared_from_this(), [watched = *m_request](caller_session& self, beast::error_code error) {
+            self.onReadable(watched, error);
+        }));
+}
+
+void caller_session::onReadable(request_id watched, beast::error_code error)
+{
+    if (error || m_request != watched)
+        return;
+    if (!readPipelined())
+        abandonRequest();
+    else if (m_buffer.size() <= pipelinedLimit)
+        watchForDisconnect();
 }
 
 bool caller_session::readPipelined()
 {
     // The next request may arrive before this one is answered. Its bytes are read, since otherwise a disconnect that
     // follows them would go unnoticed.
+    if (m_buffer.size() > pipelinedLimit)
+        return true;
     beast::error_code error;
     if (!m_stream.socket().non_blocking())
         m_stream.socket().non_blocking(true, error);
@@ -259,6 +282,8 @@
 
 void caller_session::enqueue(outgoing item)
 {
+    if (m_isClosed)
+        return;
     m_outgoing.push_back(std::move(item));
     if (m_outgoing.size() == 1)
         writeNext();
@@ -266,28 +291,27 @@
 
 void caller_session::writeNext()
 {
-    const auto whenWritten
-        = [self = shared_from_this()](beast::error_code error, std::size_t) { self->onWritten(error); };
+    auto whenWritten = handlerOf(&caller_session::onWritten);
     m_stream.expires_after(writeTimeout);
     const auto& item = m_outgoing.front();
     switch (item.as) {
     case outgoing::framing::Plain:
-        asio::async_write(m_stream, asio::buffer(item.bytes), whenWritten);
+        asio::async_write(m_stream, asio::buffer(item.bytes), std::move(whenWritten));
         break;
     case outgoing::framing::Chunk:
-        asio::async_write(m_stream, http::make_chunk(asio::buffer(item.bytes)), whenWritten);
+        asio::async_write(m_stream, http::make_chunk(asio::buffer(item.bytes)), std::move(whenWritten));
         break;
     case outgoing::framing::LastChunk:
-        asio::async_write(m_stream, http::make_chunk_last(), whenWritten);
+        asio::async_write(m_stream, http::make_chunk_last(), std::move(whenWritten));
         break;
     }
 }
 
 void caller_session::onWritten(beast::error_code error)
 {
-    m_stream.expires_never();
-    if (m_outgoing.empty())
+    if (m_isClosed)
         return;
+    m_stream.expires_never();
     if (error) {
         if (m_request)
             abandonRequest();
@@ -324,13 +348,15 @@
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     m_stream.expires_after(timeLeftUntil(m_discardUntil));
     m_buffer.clear();
-    m_stream.async_read_some(
-        m_buffer.prepare(discardSize), [self = shared_from_this()](beast::error_code error, std::size_t) {
-            if (error)
-                self->closeConnection();
-            else
-                self->discardRest();
-        });
+    m_stream.async_read_some(m_buffer.prepare(messageBufferLimit), handlerOf(&caller_session::onDiscarded));
+}
+
+void caller_session::onDiscarded(beast::error_code error)
+{
+    if (error)
+        closeConnection();
+    else
+        discardRest();
 }
 
 void caller_session::closeConnection()
@@ -339,7 +365,7 @@
         return;
     if (m_request)
         m_delegate.unregisterRequest(*std::exchange(m_request, std::nullopt));
-    m_outgoing.clear();
+    // A write in progress still uses the bytes in `m_outgoing`.
     beast::error_code ignored;
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     m_stream.close();
--- a/src/kumquatbeam/sessions/caller_session.hpp
+++ b/src/kumquatbeam/sessions/caller_session.hpp
@@ -2,6 +2,7 @@
 
 #include "kumquatbeam/codec/caller_dialect.hpp"
 #include "kumquatbeam/controllers/command.hpp"
+#include "kumquatbeam/sessions/message_buffer.hpp"
 #include "kumquatbeam/types/ids.hpp"
 #include "kumquatbeam/types/time.hpp"
 
@@ -14,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace kumquatbeam {
 
@@ -62,6 +64,9 @@
 /// A caller's connection: reads a request, waits for its reply and writes it, then reads the next request.
 class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
+    /// Name in logs.
+    static constexpr std::string_view partName = "caller-session";
+
     caller_session(boost::asio::ip::tcp::socket, caller_session_delegate&);
 
     void start();
@@ -76,6 +81,9 @@
     /// Closes the connection unless a request is being read, is in progress or is being answered.
     void closeIfIdle();
 
+    /// Closes the connection after an unexpected error in a handler.
+    void endUnexpectedly();
+
 private:
     /// Bytes to be written, and their framing.
     struct outgoing {
@@ -88,15 +96,20 @@
         std::string bytes {};
     };
 
+    /// A completion handler that calls the member function.
+    template <typename Step> auto handlerOf(Step);
+
     void readRequest();
     void onFirstBytes(boost::beast::error_code);
     void onHeader(boost::beast::error_code);
     void sendContinue();
+    void onContinueSent(boost::beast::error_code);
     void readBody();
     void onRead(boost::beast::error_code);
     void refuse(boost::beast::error_code);
     void handleRequest();
     void watchForDisconnect();
+    void onReadable(request_id watched, boost::beast::error_code);
     bool readPipelined();
     void abandonRequest();
     void writeReply(const call_reply&, bool keepAlive);
@@ -105,11 +118,12 @@
     void onWritten(boost::beast::error_code);
     void finishRequest();
     void discardRest();
+    void onDiscarded(boost::beast::error_code);
     void closeConnection();
 
     caller_session_delegate& m_delegate;
     boost::beast::tcp_stream m_stream;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer { messageBufferLimit };
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
     std::optional<request_id> m_request;
     std::deque<outgoing> m_outgoing;
--- a/src/kumquatbeam/sessions/endpoint_connection.hpp
+++ b/src/kumquatbeam/sessions/endpoint_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kumquatbeam/controllers/command.hpp"
+#include "kumquatbeam/sessions/message_buffer.hpp"
 #include "kumquatbeam/types/time.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -11,7 +12,8 @@
 
 namespace kumquatbeam {
 
-/// A connection to one incarnation of an endpoint; carries one call at a time.
+/// A connection to one incarnation of an endpoint; carries one call at a time. Pending operations use its socket and
+/// buffer, so each of their handlers shares its ownership.
 struct endpoint_connection {
     endpoint_connection(boost::asio::io_context& context, endpoint_address endpoint)
         : to(std::move(endpoint))
@@ -21,7 +23,7 @@
 
     endpoint_address to;
     boost::asio::ip::tcp::socket socket;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer { messageBufferLimit };
     /// End of the last answer; `never` while a call is in progress.
     time_point idleSince = never;
     /// When the idle connection must be closed.
--- a/src/kumquatbeam/sessions/endpoint_session.cpp
+++ b/src/kumquatbeam/sessions/endpoint_session.cpp
@@ -1,5 +1,6 @@
 #include "kumquatbeam/sessions/endpoint_session.hpp"
 
+#include "kumquatbeam/runtime/containment.hpp"
 #include "kumquatbeam/sessions/connect.hpp"
 
 #include <boost/beast/http/read.hpp>
@@ -59,9 +60,21 @@
 
 void endpoint_session::onChunkConsumed()
 {
-    if (m_isFinished || !std::exchange(m_isChunkUnacknowledged, false))
-        return;
-    continueReading();
+    if (!hasEnded() && std::exchange(m_isChunkUnacknowledged, false))
+        continueReading();
+}
+
+void endpoint_session::endUnexpectedly()
+{
+    finishFailed(failure_kind::UnexpectedError);
+}
+
+template <typename Step> auto endpoint_session::handlerOf(Step step)
+{
+    // The operation may touch the socket and the buffer after the session has given up the connection.
+    return contained(shared_from_this(),
+        [step, connection = m_connection](
+            endpoint_session& self, beast::error_code error, auto...) { (self.*step)(error); });
 }
 
 void endpoint_session::connect()
@@ -74,13 +87,12 @@
         return;
     }
     armTimeout(std::min(m_attempt.deadline, m_startedAt + connectTimeout));
-    m_connection->socket.async_connect(
-        *remote, [self = shared_from_this()](beast::error_code failed) { self->onConnected(failed); });
+    m_connection->socket.async_connect(*remote, handlerOf(&endpoint_session::onConnected));
 }
 
 void endpoint_session::onConnected(beast::error_code error)
 {
-    if (m_isFinished)
+    if (hasEnded())
         return;
     if (error) {
         finishFailed(classifyError(error));
@@ -110,20 +122,28 @@
     m_hasSent = true;
     // An endpoint may answer before it has read the whole request, so reading starts at once. A failed write shows up
     // as a failed read.
-    http::async_write(m_connection->socket, m_request,
-        [self = shared_from_this()](beast::error_code error, std::size_t) { self->m_isRequestWritten = !error; });
+    http::async_write(m_connection->socket, m_request, handlerOf(&endpoint_session::onRequestWritten));
     readHead();
 }
 
+void endpoint_session::onRequestWritten(beast::error_code error)
+{
+    m_isRequestWritten = !error;
+}
+
 void endpoint_session::armTimeout(time_point limit)
 {
     m_timeoutTimer.expires_at(limit);
-    m_timeoutTimer.async_wait([self = shared_from_this()](beast::error_code error) {
-        if (error || self->m_isFinished)
-            return;
-        self->m_isTimedOut = true;
-        self->finishFailed(self->classifyError({}));
-    });
+    m_timeoutTimer.async_wait(contained(shared_from_this(), [](endpoint_session& self, beast::error_code error) {
+        if (!error && !self.hasEnded())
+            self.onTimeout();
+    }));
+}
+
+void endpoint_session::onTimeout()
+{
+    m_isTimedOut = true;
+    finishFailed(classifyError({}));
 }
 
 void endpoint_session::readHead()
@@ -131,13 +151,13 @@
     m_parser.emplace();
     // An answer is bounded chunk by chunk, not as a whole. Boost 1.74 treats an unset limit as zero.
     m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-    http::async_read_header(m_connection->socket, m_connection->buffer, *m_parser,
-        [self = shared_from_this()](beast::error_code failed, std::size_t) { self->onHead(failed); });
+    http::async_read_header(
+        m_connection->socket, m_connection->buffer, *m_parser, handlerOf(&endpoint_session::onHead));
 }
 
 void endpoint_session::onHead(beast::error_code error)
 {
-    if (m_isFinished)
+    if (hasEnded())
         return;
     if (error) {
         finishFailed(classifyError(error));
@@ -166,7 +186,7 @@
         continueReading();
         break;
     case answer_class::NotRun:
-        skipRefusal(classification.problem);
+        handleRefusal(classification.problem);
         break;
     case answer_class::OtherCall:
         skipUnrelatedAnswer();
@@ -183,20 +203,22 @@
         finishFailed(failure_kind::AnswerMismatched);
         return;
     }
-    m_isSkipping = true;
+    m_isDiscarding = true;
+    armTimeout(std::min(m_attempt.deadline, clock::now() + discardTimeout));
     continueReading();
 }
 
-void endpoint_session::skipRefusal(failure_kind kind)
+void endpoint_session::handleRefusal(failure_kind kind)
 {
-    m_refusal = kind;
-    // The rest of the answer is read only so that the connection can be reused.
-    if (m_parser->need_eof()) {
-        finishFailed(kind);
+    report(attempt_outcome::Refused, failure { kind, m_attempt.to.endpoint.value });
+    if (m_parser->need_eof() || m_parser->is_done()) {
+        releaseConnection(m_parser->is_done());
         return;
     }
-    m_isSkipping = true;
-    continueReading();
+    // The rest of the answer is read only so that the connection can be reused.
+    m_isDiscarding = true;
+    armTimeout(clock::now() + discardTimeout);
+    readChunk();
 }
 
 void endpoint_session::continueReading()
@@ -205,13 +227,14 @@
         readChunk();
         return;
     }
-    const bool wasSkipping = std::exchange(m_isSkipping, false);
-    if (m_refusal)
-        finishFailed(*m_refusal);
-    else if (wasSkipping)
+    if (m_isReported) {
+        releaseConnection(true);
+    } else if (std::exchange(m_isDiscarding, false)) {
+        armTimeout(m_attempt.deadline);
         readHead();
-    else
+    } else {
         finishCompleted();
+    }
 }
 
 void endpoint_session::relayHead()
@@ -230,25 +253,35 @@
     auto& body = m_parser->get().body();
     body.data = m_chunk.data();
     body.size = m_chunk.size();
-    http::async_read_some(m_connection->socket, m_connection->buffer, *m_parser,
-        [self = shared_from_this()](beast::error_code error, std::size_t) { self->onChunk(error); });
+    http::async_read_some(m_connection->socket, m_connection->buffer, *m_parser, handlerOf(&endpoint_session::onChunk));
 }
 
 void endpoint_session::onChunk(beast::error_code error)
 {
-    if (m_isFinished)
+    if (hasEnded())
         return;
     if (error && error != http::error::need_buffer) {
         finishFailed(classifyError(error));
         return;
     }
     const auto received = m_chunk.size() - m_parser->get().body().size;
-    if (received == 0 || m_isSkipping)
+    if (received == 0)
         continueReading();
+    else if (m_isDiscarding)
+        discard(received);
     else
         handleChunk({ m_chunk.data(), received });
 }
 
+void endpoint_session::discard(std::size_t size)
+{
+    m_discardedBytes += size;
+    if (m_discardedBytes > discardLimit)
+        finishFailed(failure_kind::AnswerTooLarge);
+    else
+        continueReading();
+}
+
 void endpoint_session::handleChunk(std::string_view bytes)
 {
     switch (m_delivery) {
@@ -298,23 +331,21 @@
         relayHead();
         m_delegate.relay(answer_end { m_attempt.id });
     }
-    finish(attempt_outcome::Completed, std::nullopt);
+    report(attempt_outcome::Completed, std::nullopt);
+    releaseConnection(true);
 }
 
 void endpoint_session::finishFailed(failure_kind kind)
 {
-    // A refusal counts even if reading the rest of its answer fails.
-    const auto outcome = m_refusal ? attempt_outcome::Refused
-        : m_hasSent                ? attempt_outcome::Broken
-                                   : attempt_outcome::NotSent;
-    finish(outcome, failure { m_refusal.value_or(kind), m_attempt.to.endpoint.value });
+    report(
+        m_hasSent ? attempt_outcome::Broken : attempt_outcome::NotSent, failure { kind, m_attempt.to.endpoint.value });
+    releaseConnection(false);
 }
 
-void endpoint_session::finish(attempt_outcome outcome, std::optional<failure> problem)
+void endpoint_session::report(attempt_outcome outcome, std::optional<failure> problem)
 {
-    if (std::exchange(m_isFinished, true))
+    if (std::exchange(m_isReported, true))
         return;
-    m_timeoutTimer.cancel();
     attempt_ended ended { .id = m_attempt.id,
         .endpoint = m_attempt.to.endpoint,
         .outcome = outcome,
@@ -332,15 +363,16 @@
         if (!isRelayed())
             ended.fields = m_delegate.dialect().forwardedFields(head);
     }
-    ended.body = std::move(m_bufferedBody);
-    releaseConnection(outcome == attempt_outcome::Completed || outcome == attempt_outcome::Refused);
+    if (outcome == attempt_outcome::Completed)
+        ended.body = std::move(m_bufferedBody);
     m_delegate.finish(std::move(ended));
 }
 
 void endpoint_session::releaseConnection(bool isComplete)
 {
-    if (!m_connection)
+    if (hasEnded())
         return;
+    m_timeoutTimer.cancel();
     const auto connection = std::exchange(m_connection, nullptr);
     const bool isReusable = isComplete && m_isRequestWritten && m_parser->is_done() && m_parser->keep_alive()
         && m_skippedAnswers == 0 && connection->buffer.size() == 0;
--- a/src/kumquatbeam/sessions/endpoint_session.hpp
+++ b/src/kumquatbeam/sessions/endpoint_session.hpp
@@ -11,9 +11,11 @@
 #include <boost/beast/http/parser.hpp>
 
 #include <array>
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace kumquatbeam {
 
@@ -37,8 +39,14 @@
 };
 
 /// One attempt at a call: obtains a connection, sends the request, and relays or buffers the answer.
+///
+/// The outcome is reported as soon as it is known. After a refusal, the session goes on for a moment to read the rest
+/// of the answer, so that the connection can be used again.
 class endpoint_session : public std::enable_shared_from_this<endpoint_session> {
 public:
+    /// Name in logs.
+    static constexpr std::string_view partName = "endpoint-session";
+
     endpoint_session(boost::asio::io_context&, endpoint_session_delegate&, start_attempt);
 
     void start();
@@ -49,6 +57,9 @@
     /// Continues reading after the caller session has written the last chunk.
     void onChunkConsumed();
 
+    /// Ends the attempt after an unexpected error in a handler.
+    void endUnexpectedly();
+
 private:
     static constexpr std::size_t chunkSize = 8 * 1024;
 
@@ -61,31 +72,44 @@
     /// Maximum number of interim answers (1xx) and answers to other calls before the answer itself.
     static constexpr int skippedAnswerLimit = 8;
 
-    /// Largest event of a stream, in bytes.
-    static constexpr std::size_t eventSizeLimit = 1024 * 1024;
+    /// Largest event of a stream, in bytes. Every stream of an endpoint may hold one at the same time.
+    static constexpr std::size_t eventSizeLimit = 128 * 1024;
+
+    /// @{ Limits of the body of a refusal or of another call's answer, which is read only to reach the next answer.
+    static constexpr std::size_t discardLimit = 256 * 1024;
+    static constexpr std::chrono::milliseconds discardTimeout { 500 };
+    /// @}
 
     using answer_parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+    /// A completion handler that calls the member function.
+    template <typename Step> auto handlerOf(Step);
+
     void connect();
     void onConnected(boost::beast::error_code);
     void send();
+    void onRequestWritten(boost::beast::error_code);
     void armTimeout(time_point);
+    void onTimeout();
     void readHead();
     void onHead(boost::beast::error_code);
     void handleHead();
     void skipUnrelatedAnswer();
-    void skipRefusal(failure_kind);
+    void handleRefusal(failure_kind);
     void relayHead();
     void continueReading();
     void readChunk();
     void onChunk(boost::beast::error_code);
+    void discard(std::size_t size);
     void handleChunk(std::string_view bytes);
     void handleEvents(std::string_view bytes);
     void relayChunk(std::string bytes);
     void finishCompleted();
     void finishFailed(failure_kind);
-    void finish(attempt_outcome, std::optional<failure>);
+    void report(attempt_outcome, std::optional<failure>);
+    /// Puts the connection back into the pool if it can carry another call, else closes it. Ends the session.
     void releaseConnection(bool isComplete);
+    bool hasEnded() const { return !m_connection; }
     failure_kind classifyError(boost::beast::error_code) const;
     bool isRelayed() const { return m_delivery != answer_delivery::Buffered; }
 
@@ -96,6 +120,7 @@
     /// How the answer is delivered. An answer that reports a failure is buffered, so that another endpoint can be
     /// tried.
     answer_delivery m_delivery;
+    /// Null once the session has ended.
     std::shared_ptr<endpoint_connection> m_connection;
     deadline_timer m_timeoutTimer;
     http_request m_request;
@@ -110,14 +135,14 @@
     /// Whether the whole request was written.
     bool m_isRequestWritten = false;
     /// Whether the body being read belongs to another call or to a refusal.
-    bool m_isSkipping = false;
-    /// Set once the endpoint has refused the call.
-    std::optional<failure_kind> m_refusal;
+    bool m_isDiscarding = false;
+    std::size_t m_discardedBytes = 0;
     bool m_hasRelayedHead = false;
     /// Whether a relayed chunk is not acknowledged yet; no more is read until it is.
     bool m_isChunkUnacknowledged = false;
     bool m_isTimedOut = false;
-    bool m_isFinished = false;
+    /// Whether the outcome was reported.
+    bool m_isReported = false;
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/sessions/load_probe.cpp
+++ b/src/kumquatbeam/sessions/load_probe.cpp
@@ -1,6 +1,7 @@
 #include "kumquatbeam/sessions/load_probe.hpp"
 
 #include "kumquatbeam/codec/load_report.hpp"
+#include "kumquatbeam/runtime/containment.hpp"
 #include "kumquatbeam/sessions/connect.hpp"
 
 #include <boost/beast/http/read.hpp>
@@ -21,6 +22,9 @@
     constexpr std::chrono::milliseconds probeTimeout { 800 };
     constexpr unsigned http11 = 11;
 
+    /// Largest load report, in bytes.
+    constexpr std::uint64_t reportLimit = 16 * 1024;
+
 } // namespace
 
 load_probe::load_probe(
@@ -39,10 +43,21 @@
 void load_probe::start()
 {
     m_timer.expires_after(probePeriod);
-    m_timer.async_wait([self = shared_from_this()](beast::error_code error) {
-        if (!error && !self->m_isStopped)
-            self->connect();
-    });
+    m_timer.async_wait(contained(shared_from_this(), [](load_probe& self, beast::error_code error) {
+        if (!error && !self.m_isStopped)
+            self.connect();
+    }));
+}
+
+void load_probe::endUnexpectedly()
+{
+    report(std::nullopt);
+}
+
+template <typename Step> auto load_probe::handlerOf(Step step)
+{
+    return contained(
+        shared_from_this(), [step](load_probe& self, beast::error_code error, auto...) { (self.*step)(error); });
 }
 
 void load_probe::stop()
@@ -56,7 +71,8 @@
 void load_probe::connect()
 {
     m_buffer.clear();
-    m_response = {};
+    m_parser.emplace();
+    m_parser->body_limit(reportLimit);
     m_stream.emplace(m_context);
     const auto remote = openClientSocket(m_stream->socket(), m_sourceAddress, m_endpoint.address, m_endpoint.port);
     if (!remote) {
@@ -64,7 +80,7 @@
         return;
     }
     m_stream->expires_after(probeTimeout);
-    m_stream->async_connect(*remote, [self = shared_from_this()](beast::error_code failed) { self->send(failed); });
+    m_stream->async_connect(*remote, handlerOf(&load_probe::send));
 }
 
 void load_probe::send(beast::error_code error)
@@ -73,8 +89,7 @@
         report(std::nullopt);
         return;
     }
-    http::async_write(*m_stream, m_request,
-        [self = shared_from_this()](beast::error_code failed, std::size_t) { self->receive(failed); });
+    http::async_write(*m_stream, m_request, handlerOf(&load_probe::receive));
 }
 
 void load_probe::receive(beast::error_code error)
@@ -83,17 +98,16 @@
         report(std::nullopt);
         return;
     }
-    http::async_read(*m_stream, m_buffer, m_response,
-        [self = shared_from_this()](beast::error_code failed, std::size_t) { self->handleResponse(failed); });
+    http::async_read(*m_stream, m_buffer, *m_parser, handlerOf(&load_probe::handleResponse));
 }
 
 void load_probe::handleResponse(beast::error_code error)
 {
-    if (error || m_response.result() != http::status::ok) {
+    if (error || m_parser->get().result() != http::status::ok) {
         report(std::nullopt);
         return;
     }
-    report(parseLoadReport(m_endpoint.endpoint, m_response.body()));
+    report(parseLoadReport(m_endpoint.endpoint, m_parser->get().body()));
 }
 
 void load_probe::report(std::optional<endpoint_load> load)
--- a/src/kumquatbeam/sessions/load_probe.hpp
+++ b/src/kumquatbeam/sessions/load_probe.hpp
@@ -4,21 +4,27 @@
 #include "kumquatbeam/controllers/decision_event.hpp"
 
 #include "kumquatbeam/runtime/deadline_timer.hpp"
+#include "kumquatbeam/sessions/message_buffer.hpp"
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 namespace kumquatbeam {
 
 /// Polls an endpoint for its load periodically until stopped.
 class load_probe : public std::enable_shared_from_this<load_probe> {
 public:
+    /// Name in logs.
+    static constexpr std::string_view partName = "load-probe";
+
     using observer = std::function<void(load_observed)>;
 
     load_probe(boost::asio::io_context&, std::string sourceAddress, endpoint_address, observer);
@@ -26,6 +32,9 @@
     void start();
     void stop();
 
+    /// Counts the probe as failed after an unexpected error in a handler.
+    void endUnexpectedly();
+
     /// Whether the probe targets this address and port.
     bool probesAddress(const endpoint_address& other) const
     {
@@ -33,6 +42,9 @@
     }
 
 private:
+    /// A completion handler that calls the member function.
+    template <typename Step> auto handlerOf(Step);
+
     void connect();
     void send(boost::beast::error_code);
     void receive(boost::beast::error_code);
@@ -45,9 +57,9 @@
     observer m_observer;
     deadline_timer m_timer;
     std::optional<boost::beast::tcp_stream> m_stream;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer { messageBufferLimit };
     boost::beast::http::request<boost::beast::http::empty_body> m_request;
-    boost::beast::http::response<boost::beast::http::string_body> m_response;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     bool m_isStopped = false;
 };
 
--- a/src/kumquatbeam/sessions/operator_client.cpp
+++ b/src/kumquatbeam/sessions/operator_client.cpp
@@ -1,5 +1,6 @@
 #include "kumquatbeam/sessions/operator_client.hpp"
 
+#include "kumquatbeam/sessions/message_buffer.hpp"
 #include "kumquatbeam/types/failure.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -67,7 +68,7 @@
 
         boost::asio::io_context m_context;
         beast::tcp_stream m_stream;
-        beast::flat_buffer m_buffer;
+        beast::flat_buffer m_buffer { messageBufferLimit };
         http::request<http::empty_body> m_request;
         http::response_parser<http::string_body> m_parser;
         beast::error_code m_result;
--- a/src/kumquatbeam/sessions/operator_session.cpp
+++ b/src/kumquatbeam/sessions/operator_session.cpp
@@ -1,5 +1,7 @@
 #include "kumquatbeam/sessions/operator_session.hpp"
 
+#include "kumquatbeam/runtime/containment.hpp"
+
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -26,10 +28,20 @@
 void operator_session::start()
 {
     m_stream.expires_after(queryTimeout);
-    http::async_read(m_stream, m_buffer, m_request, [self = shared_from_this()](beast::error_code error, std::size_t) {
-        if (!error)
-            self->m_delegate.handle(self, self->m_request.method(), std::string(self->m_request.target()));
-    });
+    http::async_read(m_stream, m_buffer, m_request,
+        contained(shared_from_this(),
+            [](operator_session& self, beast::error_code error, std::size_t) { self.onRead(error); }));
+}
+
+void operator_session::endUnexpectedly()
+{
+    m_stream.close();
+}
+
+void operator_session::onRead(beast::error_code error)
+{
+    if (!error)
+        m_delegate.handle(shared_from_this(), m_request.method(), std::string(m_request.target()));
 }
 
 void operator_session::respond(http::status status, const std::string& type, std::string body)
@@ -39,8 +51,9 @@
     m_response.body() = std::move(body);
     m_response.keep_alive(false);
     m_response.prepare_payload();
-    http::async_write(
-        m_stream, m_response, [self = shared_from_this()](beast::error_code, std::size_t) { self->m_stream.close(); });
+    http::async_write(m_stream, m_response,
+        contained(
+            shared_from_this(), [](operator_session& self, beast::error_code, std::size_t) { self.m_stream.close(); }));
 }
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/sessions/operator_session.hpp
+++ b/src/kumquatbeam/sessions/operator_session.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "kumquatbeam/sessions/message_buffer.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -9,6 +11,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace kumquatbeam {
 
@@ -27,15 +30,23 @@
 /// A query by an operator; the connection is closed after the response.
 class operator_session : public std::enable_shared_from_this<operator_session> {
 public:
+    /// Name in logs.
+    static constexpr std::string_view partName = "operator-session";
+
     operator_session(boost::asio::ip::tcp::socket, operator_session_delegate&);
 
     void start();
     void respond(boost::beast::http::status, const std::string& type, std::string body);
 
+    /// Closes the connection after an unexpected error in a handler.
+    void endUnexpectedly();
+
 private:
+    void onRead(boost::beast::error_code);
+
     operator_session_delegate& m_delegate;
     boost::beast::tcp_stream m_stream;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer { messageBufferLimit };
     boost::beast::http::request<boost::beast::http::empty_body> m_request;
     boost::beast::http::response<boost::beast::http::string_body> m_response;
 };
--- a/src/kumquatbeam/sessions/peer_session.cpp
+++ b/src/kumquatbeam/sessions/peer_session.cpp
@@ -1,6 +1,7 @@
 #include "kumquatbeam/sessions/peer_session.hpp"
 
 #include "kumquatbeam/codec/peer_codec.hpp"
+#include "kumquatbeam/runtime/containment.hpp"
 #include "kumquatbeam/types/failure.hpp"
 
 #include <boost/asio/read.hpp>
@@ -71,48 +72,62 @@
     m_delegate.onSessionClosed(*this, reason);
 }
 
+void peer_session::endUnexpectedly()
+{
+    close(toStatus({ failure_kind::UnexpectedError, "peer" }));
+}
+
+template <typename Step> auto peer_session::handlerOf(Step step)
+{
+    return contained(shared_from_this(),
+        [step](peer_session& self, const boost::system::error_code& error, auto...) { (self.*step)(error); });
+}
+
 void peer_session::readLength()
 {
-    asio::async_read(m_socket, asio::buffer(m_length),
-        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
-            if (error) {
-                self->onError(error);
-                return;
-            }
-            const auto length = decodeFrameLength({ self->m_length.data(), self->m_length.size() });
-            if (length.ok())
-                self->readBody(*length);
-            else
-                self->close(length.status());
-        });
+    asio::async_read(m_socket, asio::buffer(m_length), handlerOf(&peer_session::onLength));
+}
+
+void peer_session::onLength(const boost::system::error_code& error)
+{
+    if (error) {
+        onError(error);
+        return;
+    }
+    const auto length = decodeFrameLength({ m_length.data(), m_length.size() });
+    if (length.ok())
+        readBody(*length);
+    else
+        close(length.status());
 }
 
 void peer_session::readBody(std::size_t length)
 {
     m_body.resize(length);
-    asio::async_read(m_socket, asio::buffer(m_body),
-        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
-            if (error) {
-                self->onError(error);
-                return;
-            }
-            self->m_delegate.countReceived(frameLengthSize + self->m_body.size());
-            // After a long pause of this process, the buffered messages are stale and the peer has timed this router
-            // out.
-            if (clock::now() >= self->m_silenceTimer.expiry()) {
-                self->close(toStatus({ failure_kind::OwnerUnreachable, "peer", "silence" }));
-                return;
-            }
-            auto message = decodeFrame(self->m_body, self->m_delegate.earliestArrival());
-            if (!message.ok()) {
-                self->close(message.status());
-                return;
-            }
-            self->restartSilenceTimer();
-            self->handleMessage(*std::move(message));
-            if (!self->m_isClosed)
-                self->readLength();
-        });
+    asio::async_read(m_socket, asio::buffer(m_body), handlerOf(&peer_session::onBody));
+}
+
+void peer_session::onBody(const boost::system::error_code& error)
+{
+    if (error) {
+        onError(error);
+        return;
+    }
+    m_delegate.countReceived(frameLengthSize + m_body.size());
+    // After a long pause of this process, the buffered messages are stale and the peer has timed this router out.
+    if (clock::now() >= m_silenceTimer.expiry()) {
+        close(toStatus({ failure_kind::OwnerUnreachable, "peer", "silence" }));
+        return;
+    }
+    auto message = decodeFrame(m_body, m_delegate.earliestArrival());
+    if (!message.ok()) {
+        close(message.status());
+        return;
+    }
+    restartSilenceTimer();
+    handleMessage(*std::move(message));
+    if (!m_isClosed)
+        readLength();
 }
 
 void peer_session::handleMessage(peer_message message)
@@ -133,28 +148,31 @@
 
 void peer_session::writeNext()
 {
-    asio::async_write(m_socket, asio::buffer(m_outgoing.front()),
-        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
-            if (error) {
-                self->onError(error);
-                return;
-            }
-            self->m_outgoingBytes -= self->m_outgoing.front().size();
-            self->m_outgoing.pop_front();
-            if (!self->m_outgoing.empty())
-                self->writeNext();
-            else if (self->m_closeReason)
-                self->close(*self->m_closeReason);
-        });
+    asio::async_write(m_socket, asio::buffer(m_outgoing.front()), handlerOf(&peer_session::onWritten));
+}
+
+void peer_session::onWritten(const boost::system::error_code& error)
+{
+    if (error) {
+        onError(error);
+        return;
+    }
+    m_outgoingBytes -= m_outgoing.front().size();
+    m_outgoing.pop_front();
+    if (!m_outgoing.empty())
+        writeNext();
+    else if (m_closeReason)
+        close(*m_closeReason);
 }
 
 void peer_session::restartSilenceTimer()
 {
     m_silenceTimer.expires_after(silenceTimeout);
-    m_silenceTimer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
-        if (!error)
-            self->close(toStatus({ failure_kind::OwnerUnreachable, "peer", "silence" }));
-    });
+    m_silenceTimer.async_wait(
+        contained(shared_from_this(), [](peer_session& self, const boost::system::error_code& error) {
+            if (!error)
+                self.close(toStatus({ failure_kind::OwnerUnreachable, "peer", "silence" }));
+        }));
 }
 
 void peer_session::onError(const boost::system::error_code& error)
--- a/src/kumquatbeam/sessions/peer_session.hpp
+++ b/src/kumquatbeam/sessions/peer_session.hpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace kumquatbeam {
 
@@ -44,6 +45,9 @@
 /// A connection to another daemon. Both sides send a hello message first; then messages flow in both directions.
 class peer_session : public std::enable_shared_from_this<peer_session> {
 public:
+    /// Name in logs.
+    static constexpr std::string_view partName = "peer-session";
+
     peer_session(boost::asio::ip::tcp::socket, peer_session_delegate&);
 
     /// Sends the hello message and starts reading. The socket must be connected.
@@ -58,14 +62,23 @@
     /// Closes the session and notifies the delegate.
     void close(const absl::Status& reason);
 
+    /// Closes the session after an unexpected error in a handler.
+    void endUnexpectedly();
+
     /// The peer's hello message, once received.
     const std::optional<peer_hello>& peer() const { return m_peer; }
 
 private:
+    /// A completion handler that calls the member function.
+    template <typename Step> auto handlerOf(Step);
+
     void readLength();
+    void onLength(const boost::system::error_code&);
     void readBody(std::size_t length);
+    void onBody(const boost::system::error_code&);
     void handleMessage(peer_message);
     void writeNext();
+    void onWritten(const boost::system::error_code&);
     void restartSilenceTimer();
     void onError(const boost::system::error_code&);
 
--- a/src/kumquatbeam/types/failure.cpp
+++ b/src/kumquatbeam/types/failure.cpp
@@ -78,6 +78,7 @@
         { NotAMember, StatusCode::kPermissionDenied, "not-a-member", "the address belongs to no entry VM" },
         { AddressInUse, StatusCode::kUnavailable, "address-in-use", "the address cannot be listened on" },
         { PlatformUnreachable, StatusCode::kUnavailable, "platform-unreachable", "the platform cannot be reached" },
+        { UnexpectedError, StatusCode::kInternal, "unexpected-error", "the router met an unexpected error" },
     });
 
     constexpr char payloadUrl[] = "kumquatbeam/failure";
--- a/src/kumquatbeam/types/failure.hpp
+++ b/src/kumquatbeam/types/failure.hpp
@@ -58,6 +58,7 @@
     NotAMember,
     AddressInUse,
     PlatformUnreachable,
+    UnexpectedError,
 };
 
 /// A failure: its kind, where it occurred, the value found and what is allowed there.
--- /dev/null
+++ b/tests/unit/sessions/caller_session.tests.cpp
@@ -0,0 +1,250 @@
+#include "scripted_server.hpp"
+
+#include "kumquatbeam/sessions/caller_session.hpp"
+#include "platform/platform_caller_dialect.hpp"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <map>
+#include <stdexcept>
+
+using namespace kumquatbeam;
+using namespace kumquatbeam::testing;
+using namespace std::chrono_literals;
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Time within which a request without end is given up.
+constexpr auto limit = 3s;
+
+const std::string requestHead = "POST /q/1 HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: call\r\n";
+const std::string kilobyte(1024, 'x');
+
+/// The duty of the caller sessions under test: accepts connections, and records requests and disconnects.
+class recording_callers final : public caller_session_delegate {
+public:
+    explicit recording_callers(asio::io_context& context)
+        : m_acceptor(context, { asio::ip::address_v4::loopback(), 0 })
+    {
+        m_limits.idleTimeout = 1s;
+        m_limits.headerTimeout = 1s;
+        accept();
+    }
+
+    std::optional<request_id> registerRequest(std::shared_ptr<caller_session> session) override
+    {
+        const request_id id { ++m_lastRequest };
+        sessions.emplace(id, std::move(session));
+        return id;
+    }
+    void unregisterRequest(request_id id) override { sessions.erase(id); }
+    bool submit(request_id, call_request call) override
+    {
+        if (throwsOnSubmit)
+            throw std::runtime_error("no decision");
+        requests.push_back(std::move(call));
+        return true;
+    }
+    void abandon(request_id) override { ++abandoned; }
+    void acknowledgeChunk(request_id) override { ++acknowledged; }
+    void onConnectionClosed(caller_session&) override { ++closed; }
+    bool isReady() const override { return true; }
+    bool isDraining() const override { return false; }
+    bool isNearCallerLimit() const override { return false; }
+    time_point earliestArrival() override { return clock::now(); }
+    const caller_dialect& dialect() const override { return m_dialect; }
+    const caller_limits& limits() const override { return m_limits; }
+
+    asio::ip::tcp::endpoint address() const { return m_acceptor.local_endpoint(); }
+
+    std::map<request_id, std::shared_ptr<caller_session>> sessions;
+    std::vector<call_request> requests;
+    bool throwsOnSubmit = false;
+    int abandoned = 0;
+    int acknowledged = 0;
+    int closed = 0;
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([this](auto error, asio::ip::tcp::socket socket) {
+            if (error)
+                return;
+            std::make_shared<caller_session>(std::move(socket), *this)->start();
+            accept();
+        });
+    }
+
+    platform::platform_caller_dialect m_dialect;
+    caller_limits m_limits;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::uint64_t m_lastRequest = 0;
+};
+
+/// A caller that sends an opening, then more of the same until the router closes, and keeps what it receives.
+class scripted_caller : public std::enable_shared_from_this<scripted_caller> {
+public:
+    explicit scripted_caller(asio::io_context& context)
+        : m_socket(context)
+    {
+    }
+
+    void start(const asio::ip::tcp::endpoint& router, std::string opening, std::string repeated, bool reads = true)
+    {
+        m_repeated = std::move(repeated);
+        m_socket.connect(router);
+        if (reads)
+            read();
+        send(std::move(opening));
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+        isClosed = true;
+    }
+
+    std::string received;
+    std::size_t sentBytes = 0;
+    bool isClosed = false;
+
+private:
+    void read()
+    {
+        m_socket.async_read_some(asio::buffer(m_input), [self = shared_from_this()](auto error, std::size_t size) {
+            if (error) {
+                self->close();
+                return;
+            }
+            self->received.append(self->m_input.data(), size);
+            self->read();
+        });
+    }
+
+    void send(std::string bytes)
+    {
+        m_output = std::move(bytes);
+        asio::async_write(m_socket, asio::buffer(m_output), [self = shared_from_this()](auto error, std::size_t size) {
+            self->sentBytes += size;
+            if (!error && !self->m_repeated.empty())
+                self->send(self->m_repeated);
+        });
+    }
+
+    asio::ip::tcp::socket m_socket;
+    std::string m_output;
+    std::string m_repeated;
+    std::array<char, 64 * 1024> m_input {};
+};
+
+struct caller_fixture {
+    std::shared_ptr<scripted_caller> call(std::string opening, std::string repeated = {}, bool reads = true)
+    {
+        const auto caller = std::make_shared<scripted_caller>(context);
+        caller->start(duty.address(), std::move(opening), std::move(repeated), reads);
+        return caller;
+    }
+
+    template <typename Condition> bool until(Condition condition) { return runUntil(context, condition, limit); }
+
+    asio::io_context context;
+    recording_callers duty { context };
+};
+
+/// What a caller can send before it sees that the router has closed: what is read and the kernel's buffers.
+constexpr std::size_t sentLimit = 32 * 1024 * 1024;
+
+} // namespace
+
+TEST_CASE_FIXTURE(caller_fixture, "A request without end is given up in bounded time and memory [caller_session]")
+{
+    const auto chunked = requestHead + "Transfer-Encoding: chunked\r\n\r\n";
+    for (const auto& [opening, repeated] :
+        { std::pair { std::string("POST /"), kilobyte }, std::pair { requestHead, "X-Line: " + kilobyte + "\r\n" },
+            std::pair { chunked + "4;name=", kilobyte }, std::pair { chunked + "0\r\n", std::string("X-Line: 1\r\n") },
+            std::pair { chunked, "400\r\n" + kilobyte + "\r\n" } }) {
+        const auto closedBefore = duty.closed;
+        const auto caller = call(opening, repeated);
+        CHECK(until([&] { return duty.closed > closedBefore; }));
+        CHECK(caller->sentBytes < sentLimit);
+        CHECK(duty.requests.empty());
+        caller->close();
+    }
+}
+
+TEST_CASE_FIXTURE(caller_fixture, "A field that is larger than the HTTP library can store is refused [caller_session]")
+{
+    const auto large = "X-Large: " + std::string(70'000, 'x') + "\r\n\r\n";
+    call(requestHead + large);
+    call(requestHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + large);
+    CHECK(until([&] { return duty.closed == 2; }));
+    CHECK(duty.requests.empty());
+    call(requestHead + "\r\n");
+    CHECK(until([&] { return duty.requests.size() == 1; }));
+}
+
+TEST_CASE_FIXTURE(caller_fixture, "A head that arrives a byte now and then ends at the header timeout [caller_session]")
+{
+    const auto caller = call("POST /q");
+    CHECK(until([&] { return duty.closed == 1; }));
+}
+
+TEST_CASE_FIXTURE(caller_fixture, "Pipelined bytes without end are read up to a limit [caller_session]")
+{
+    const auto caller = call(requestHead + "\r\n", kilobyte);
+    CHECK(until([&] { return duty.requests.size() == 1; }));
+    runUntil(
+        context, [] { return false; }, 300ms);
+    CHECK(caller->sentBytes < sentLimit);
+    CHECK(duty.abandoned == 0);
+    duty.sessions.begin()->second->deliver(reply_to_caller { { 1 }, { .kind = reply_kind::Answered } });
+    CHECK(until([&] { return duty.closed == 1; }));
+    caller->close();
+}
+
+TEST_CASE_FIXTURE(
+    caller_fixture, "A caller that leaves while its answer is being written is abandoned [caller_session]")
+{
+    const auto caller = call(requestHead + "\r\n", {}, false);
+    REQUIRE(until([&] { return duty.requests.size() == 1; }));
+    const auto session = duty.sessions.begin()->second;
+    session->deliver(answer_head { { 1 }, { 200 }, {}, {} });
+    for (int chunk = 0; chunk < 64; ++chunk)
+        session->deliver(answer_chunk { { 1 }, std::string(1024 * 1024, 'x') });
+    runUntil(
+        context, [] { return false; }, 50ms);
+    caller->close();
+    CHECK(until([&] { return duty.closed == 1; }));
+    CHECK(duty.abandoned == 1);
+    session->deliver(answer_chunk { { 1 }, "late" });
+    runUntil(
+        context, [] { return false; }, 50ms);
+}
+
+TEST_CASE_FIXTURE(caller_fixture, "An answer that is broken off has no last chunk [caller_session]")
+{
+    const auto caller = call(requestHead + "\r\n");
+    REQUIRE(until([&] { return duty.requests.size() == 1; }));
+    const auto session = duty.sessions.begin()->second;
+    session->deliver(answer_head { { 1 }, { 200 }, {}, {} });
+    session->deliver(answer_chunk { { 1 }, "half" });
+    REQUIRE(until([&] { return duty.acknowledged == 1; }));
+    session->deliver(reply_to_caller { { 1 }, { .kind = reply_kind::Unknown, .problem = failure {} } });
+    REQUIRE(until([&] { return caller->isClosed; }));
+    CHECK(caller->received.ends_with("4\r\nhalf\r\n"));
+}
+
+TEST_CASE_FIXTURE(caller_fixture, "An unexpected error ends one session and no other [caller_session]")
+{
+    duty.throwsOnSubmit = true;
+    const auto caller = call(requestHead + "\r\n");
+    CHECK(until([&] { return caller->isClosed; }));
+    CHECK(duty.closed == 1);
+    duty.throwsOnSubmit = false;
+    call(requestHead + "\r\n");
+    CHECK(until([&] { return duty.requests.size() == 1; }));
+}
--- /dev/null
+++ b/tests/unit/sessions/store_reader.tests.cpp
@@ -0,0 +1,118 @@
+#include "scripted_server.hpp"
+
+#include "platform/store_reader.hpp"
+
+#include <doctest/doctest.h>
+
+#include <absl/strings/escaping.h>
+
+#include <chrono>
+
+using namespace kumquatbeam;
+using namespace kumquatbeam::platform;
+using namespace kumquatbeam::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string item(const std::string& key, const std::string& value)
+{
+    return R"({"key":")" + key + R"(","revision":3,"value":")" + absl::Base64Escape(value) + R"("})";
+}
+
+std::string response(const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string goodEntry
+    = R"({"service":"s1","address":"10.128.0.9:8080","zone":"z","slots":48,"state":"ready","born":17})";
+
+/// A store reader and the scripted store that it reads.
+struct store_fixture {
+    explicit store_fixture(server_script script)
+        : server(context, std::move(script))
+    {
+        settings.platformAddress = "127.0.0.1";
+        settings.platformPort = server.port();
+        reader = std::make_shared<store_reader>(
+            context, settings, bounds, [this](decision_event event) { events.push_back(std::move(event)); });
+        reader->start();
+    }
+
+    template <typename Event> std::vector<Event> all() const
+    {
+        std::vector<Event> found;
+        for (const auto& event : events) {
+            if (const auto* match = std::get_if<Event>(&event))
+                found.push_back(*match);
+        }
+        return found;
+    }
+
+    template <typename Event> bool awaits(std::size_t count, std::chrono::milliseconds limit)
+    {
+        return runUntil(
+            context, [&] { return all<Event>().size() >= count; }, limit);
+    }
+
+    boost::asio::io_context context;
+    scripted_server server;
+    router_settings settings;
+    route_bounds bounds;
+    std::vector<decision_event> events;
+    std::shared_ptr<store_reader> reader;
+};
+
+} // namespace
+
+TEST_CASE("An odd entry hides no other entry of the page [store_reader]")
+{
+    const auto nested = std::string(100'000, '[') + std::string(100'000, ']');
+    const auto page = R"({"items":[)" + item("servers/a", goodEntry) + ","
+        + item("servers/deep", R"({"service":)" + nested + "}") + ","
+        + item("servers/large",
+            R"({"service":"s1","address":"10.0.0.1:80","zone":"z","slots":5000000000,"state":"ready"})")
+        + ","
+        + item("servers/port", R"({"service":"s1","address":"10.0.0.1:99999","zone":"z","slots":4,"state":"ready"})")
+        + R"(,{"key":"servers/no-revision","value":""},{"key":"servers/null","revision":4,"value":null},7,)"
+        + R"({"key":"servers/huge","revision":99999999999999999999999,"value":""},)" + item("servers/z", goodEntry)
+        + R"(],"truncated":false,"store_revision":9})";
+    store_fixture fixture({ .opening = response(page) });
+    REQUIRE(fixture.awaits<directory_observed>(2, 5s));
+    const auto& endpoints = fixture.all<directory_observed>().back().directory->endpoints;
+    CHECK(endpoints.size() == 2);
+    CHECK(endpoints.contains({ "a" }));
+    CHECK(endpoints.contains({ "z" }));
+    CHECK(fixture.all<source_lost>().empty());
+    for (const auto& faulty : fixture.all<source_faulty>())
+        CHECK(describe(faulty.problem).size() < 400);
+}
+
+TEST_CASE("A page that never advances ends the read instead of repeating it for ever [store_reader]")
+{
+    store_fixture fixture(
+        { .opening = response(R"({"items":[)" + item("servers/a", goodEntry) + R"(],"truncated":true})") });
+    CHECK(fixture.awaits<source_lost>(1, 5s));
+    CHECK(fixture.server.requests() <= 3);
+}
+
+TEST_CASE("A store that sends without end is given up and read again [store_reader]")
+{
+    const std::string kilobyte(1024, 'x');
+    for (const auto& script : { server_script { .opening = "HTTP/1.1 200 ", .repeated = kilobyte },
+             server_script { .opening = "HTTP/1.1 200 OK\r\n", .repeated = "X-Line: " + kilobyte + "\r\n" },
+             server_script {
+                 .opening = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;x=", .repeated = kilobyte },
+             server_script { .opening = "HTTP/1.1 200 OK\r\n\r\n", .repeated = kilobyte },
+             server_script { .opening = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Large: "
+                     + std::string(70'000, 'x') + "\r\n\r\n" },
+             server_script {
+                 .opening = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n", .repeated = "x", .pause = 20ms } }) {
+        store_fixture fixture(script);
+        CHECK(fixture.awaits<source_lost>(1, 3s));
+        CHECK(runUntil(
+            fixture.context, [&] { return fixture.server.connections() >= 2; }, 3s));
+        CHECK(fixture.all<directory_observed>().empty());
+    }
+}
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -33,6 +33,11 @@
 FAST_LEASES = "beat-ms=250\nlease-ms=1500\n"
 
 
+# Texts that begin a sanitizer's report, and the lines of a report that are shown.
+SANITIZER_SIGNS = ("ERROR: AddressSanitizer", "ERROR: LeakSanitizer", "WARNING: ThreadSanitizer", ": runtime error: ")
+REPORT_LINES = 25
+
+
 def build_folder():
     """Returns the folder of the built programs: KUMQUATBEAM_BUILD, or the default preset's folder."""
     return pathlib.Path(os.environ.get("KUMQUATBEAM_BUILD", ROOT / "build" / "default"))
@@ -165,7 +170,11 @@
         return self
 
     def __exit__(self, *_):
+        self.stop_processes()
+        reports = self.sanitizer_reports()
         self.stop()
+        if reports:
+            raise RuntimeError("a sanitizer has reported:\n" + "\n".join(reports))
 
     def spawn(self, name, command):
         """Starts a process that appends its output to its own log file."""
@@ -348,7 +357,16 @@
         fields = {"Authorization": f"Bearer {account.credential}"}
         return http("POST", router.url(f"/v1/tickets/{pool}"), b"", fields)[1]["Kumquatbeam-Ticket"]
 
-    def stop(self):
+    def sanitizer_reports(self):
+        """Returns the reports of sanitizers in the processes' logs, each cut to its first lines."""
+        reports = []
+        for log in sorted(self.folder.glob("*.log")):
+            lines = log.read_text(errors="replace").splitlines()
+            reports += [f"{log.name}: " + "\n".join(lines[number:number + REPORT_LINES])
+                        for number, line in enumerate(lines) if any(sign in line for sign in SANITIZER_SIGNS)]
+        return reports
+
+    def stop_processes(self):
         for process in self.processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
@@ -356,5 +374,8 @@
         for process in self.processes:
             process.wait()
         self.processes = []
+
+    def stop(self):
+        self.stop_processes()
         if not self.keep_logs:
             shutil.rmtree(self.folder, ignore_errors=True)
