Send nothing new to endpoints that say they leave, nor to those that ask for quiet

Cause: neither Server-Leaving nor Retry-After of an endpoint's 503 was read. A leaving endpoint got new requests until the store showed it; one that asked for quiet got the next request at once. After: both are decoded in platform/, reported with the head of the answer (a stream's head too), and decided in the product. Leaving is final for that incarnation, outlives a missing announcement, and is told to the other routers in heartbeats. Quiet holds for first attempts, retries and trials after an ejection; a longer time that was asked for earlier is not shortened; an hour at most; a value that is no number of seconds is logged and ignored. When all usable endpoints of a pool are quiet, a caller is refused at once with the earliest time to come back. Unit tests on each decision; without the change they do not compile.

--- a/src/kumquatbeam/codec/endpoint_dialect.hpp
+++ b/src/kumquatbeam/codec/endpoint_dialect.hpp
@@ -30,6 +30,18 @@
     failure_kind problem = failure_kind::None;
 };
 
+/// What an endpoint says about itself in the head of an answer.
+struct endpoint_notice {
+    /// The endpoint is about to leave.
+    bool isLeaving = false;
+    /// Until when the endpoint asks this router to send it nothing.
+    std::optional<time_point> quietUntil {};
+    /// Set if the endpoint asks for quiet in a form that is not understood.
+    std::optional<failure> problem {};
+
+    bool isEmpty() const { return !isLeaving && !quietUntil && !problem; }
+};
+
 /// Whether and how long a connection can be reused after an answer.
 struct keep_alive_policy {
     /// Whether another call may be sent on the connection.
@@ -63,6 +75,9 @@
     /// The endpoint's load as reported in an answer, if any.
     virtual std::optional<endpoint_load> loadOf(const answer_header&, const endpoint_id&) const = 0;
 
+    /// What the endpoint says about itself in an answer that was read at `now`.
+    virtual endpoint_notice noticeOf(const answer_header&, time_point now) const = 0;
+
     /// Whether and how long the connection can be reused after this answer.
     virtual keep_alive_policy keepAlivePolicyOf(const answer_header&) const = 0;
 };
--- a/src/kumquatbeam/codec/native_dialect.hpp
+++ b/src/kumquatbeam/codec/native_dialect.hpp
@@ -26,6 +26,8 @@
     {
         return std::nullopt;
     }
+    /// Endpoints say in their load report that they are leaving.
+    endpoint_notice noticeOf(const answer_header&, time_point) const override { return {}; }
     keep_alive_policy keepAlivePolicyOf(const answer_header&) const override { return {}; }
 };
 
--- a/src/kumquatbeam/codec/peer_codec.cpp
+++ b/src/kumquatbeam/codec/peer_codec.cpp
@@ -181,6 +181,10 @@
         for (const auto& row : message.accounts)
             accounts.emplace_back(row.account.value, static_cast<std::uint32_t>(row.requestedPerSecond.value),
                 static_cast<std::uint32_t>(row.admittedPerSecond.value));
+        std::vector<frames::beat_leaving> leaving;
+        for (const auto& row : message.leavingEndpoints)
+            leaving.emplace_back(row.endpoint.value, row.incarnation);
+        const auto leavingRows = leaving.empty() ? 0 : out.CreateVectorOfStructs(leaving);
         const auto from = out.CreateString(message.from.value);
         const auto domain = out.CreateString(message.domain.value);
         const auto address = out.CreateString(message.address);
@@ -189,7 +193,7 @@
         const auto accountRows = out.CreateVectorOfStructs(accounts);
         return { frames::body::fleet_beat,
             frames::Createfleet_beat(out, from, message.incarnation.value, domain, address, message.sequence,
-                message.routes.value, message.isLeaving, knownRows, endpointRows, accountRows)
+                message.routes.value, message.isLeaving, knownRows, endpointRows, accountRows, leavingRows)
                 .Union() };
     }
 
@@ -321,6 +325,10 @@
                 message.accounts.push_back(
                     { { row->account() }, { row->asked_per_second() }, { row->admitted_per_second() } });
         }
+        if (body.leaving()) {
+            for (const auto* row : *body.leaving())
+                message.leavingEndpoints.push_back({ { row->endpoint() }, row->incarnation() });
+        }
         return message;
     }
 
--- a/src/kumquatbeam/controllers/decision_event.hpp
+++ b/src/kumquatbeam/controllers/decision_event.hpp
@@ -90,6 +90,19 @@
     service_cost cost {};
 };
 
+/// What an endpoint says about itself in the head of an answer, whatever the answer is to.
+struct endpoint_noticed {
+    endpoint_id endpoint;
+    /// The incarnation that the router has called; see `announced_endpoint`.
+    std::int64_t incarnation = 0;
+    /// The endpoint is about to leave.
+    bool isLeaving = false;
+    /// Until when the endpoint asks this router to send it nothing.
+    std::optional<time_point> quietUntil {};
+    /// Set if the endpoint asks for quiet in a form that is not understood.
+    std::optional<failure> problem {};
+};
+
 /// The head of a streamed answer has arrived.
 struct answer_begun {
     request_id id;
@@ -199,10 +212,11 @@
 struct directory_changed { };
 
 /// Events handled by the decisions duty.
-using decision_event = std::variant<request_arrived, request_admitted, request_refused, request_ended,
-    request_abandoned, attempt_ended, answer_begun, load_observed, routes_observed, directory_observed, source_lost,
-    source_regained, source_faulty, settings_reloaded, routes_changed, fleet_load_changed, directory_changed,
-    document_published, members_published, document_accepted, membership_changed, peer_connected, peer_lost,
-    peer_received, status_requested, shutdown_requested, caller_connections_closed, peer_connections_closed>;
+using decision_event
+    = std::variant<request_arrived, request_admitted, request_refused, request_ended, request_abandoned, attempt_ended,
+        endpoint_noticed, answer_begun, load_observed, routes_observed, directory_observed, source_lost,
+        source_regained, source_faulty, settings_reloaded, routes_changed, fleet_load_changed, directory_changed,
+        document_published, members_published, document_accepted, membership_changed, peer_connected, peer_lost,
+        peer_received, status_requested, shutdown_requested, caller_connections_closed, peer_connections_closed>;
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/directory_controller.cpp
+++ b/src/kumquatbeam/controllers/directory_controller.cpp
@@ -1,5 +1,7 @@
 #include "kumquatbeam/controllers/directory_controller.hpp"
 
+#include "kumquatbeam/types/wire_key.hpp"
+
 #include <algorithm>
 
 namespace kumquatbeam {
@@ -11,8 +13,57 @@
 
 void directory_controller::handle(const decision_event& event, decision_context& context)
 {
-    if (const auto* observed = std::get_if<directory_observed>(&event))
-        observe(*observed, context);
+    const event_handlers handlers {
+        [&](const directory_observed& observed) { observe(observed, context); },
+        [&](const endpoint_noticed& noticed) {
+            if (noticed.isLeaving)
+                recordLeaving(noticed.endpoint, noticed.incarnation, "its-answer", context);
+        },
+        [&](const peer_received& received) {
+            if (const auto* heartbeat = std::get_if<fleet_heartbeat>(&received.message))
+                receiveLeaving(*heartbeat, context);
+        },
+    };
+    std::visit(handlers, event);
+}
+
+void directory_controller::receiveLeaving(const fleet_heartbeat& heartbeat, decision_context& context)
+{
+    for (const auto& row : heartbeat.leavingEndpoints) {
+        const auto found = std::find_if(m_endpoints.begin(), m_endpoints.end(),
+            [&](const auto& entry) { return wireKeyOf(entry.first) == row.endpoint; });
+        if (found != m_endpoints.end())
+            recordLeaving(found->first, row.incarnation, heartbeat.from.value, context);
+    }
+}
+
+void directory_controller::recordLeaving(
+    const endpoint_id& id, std::int64_t incarnation, std::string_view source, decision_context& context)
+{
+    auto& leaving = m_leaving[id];
+    if (incarnation < leaving.incarnation)
+        return;
+    leaving = { incarnation, context.now + leavingRetention };
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end() || found->second.isDraining || found->second.incarnation != incarnation)
+        return;
+    found->second.isDraining = true;
+    context.log.changed({ name(), "draining", id.value + " because=" + std::string(source) });
+    publishChange(context);
+}
+
+bool directory_controller::isLeaving(const endpoint_id& id, std::int64_t incarnation) const
+{
+    const auto found = m_leaving.find(id);
+    return found != m_leaving.end() && found->second.incarnation == incarnation;
+}
+
+void directory_controller::addLeaving(fleet_heartbeat& heartbeat) const
+{
+    for (const auto& [id, leaving] : m_leaving) {
+        if (m_endpoints.contains(id))
+            heartbeat.leavingEndpoints.push_back({ wireKeyOf(id), leaving.incarnation });
+    }
 }
 
 time_point directory_controller::nextDeadline() const
@@ -56,6 +107,7 @@
                         .count()) });
     }
     m_lastRead = observed.readStartedAt;
+    std::erase_if(m_leaving, [&](const auto& entry) { return entry.second.forgetAt <= context.now; });
     bool hasChanged = applyAnnouncements(*observed.directory, context);
     hasChanged |= dropMissing(*observed.directory, observed.readStartedAt, context);
     if (hasChanged)
@@ -76,6 +128,7 @@
         // An announcement from before the endpoint started to drain may be read late.
         if (known != m_endpoints.end() && known->second.incarnation == announced.incarnation)
             merged.isDraining |= known->second.isDraining;
+        merged.isDraining |= isLeaving(id, merged.incarnation);
         if (known != m_endpoints.end() && known->second == merged)
             continue;
         m_endpoints.insert_or_assign(id, merged);
--- a/src/kumquatbeam/controllers/directory_controller.hpp
+++ b/src/kumquatbeam/controllers/directory_controller.hpp
@@ -3,16 +3,20 @@
 #include "kumquatbeam/controllers/controller.hpp"
 #include "kumquatbeam/settings/endpoint_directory.hpp"
 #include "kumquatbeam/settings/route_bounds.hpp"
+#include "kumquatbeam/types/peer_message.hpp"
 
+#include <chrono>
 #include <map>
+#include <string_view>
 #include <vector>
 
 namespace kumquatbeam {
 
 /// Owns the known state of the announced endpoints.
 ///
-/// Draining is final for one incarnation of an endpoint, whichever announcement is read later. Announcements expire
-/// while their writers cannot reach the directory, so an endpoint missing after an outage is kept for a grace period.
+/// Draining is final for one incarnation of an endpoint, whichever announcement is read later. It is learned from the
+/// announcements, from what the endpoint says in its answers, and from other routers. Announcements expire while their
+/// writers cannot reach the directory, so an endpoint missing after an outage is kept for a grace period.
 class directory_controller final : public controller {
 public:
     /// Longest gap between two reads that does not count as an outage, as a fraction of the change propagation limit.
@@ -20,6 +24,10 @@
     /// expired because of an outage.
     static constexpr double outageFraction = 0.75;
 
+    /// Time for which an incarnation that has said that it is leaving is remembered after it was last heard of. Longer
+    /// than an endpoint takes to leave, even if its announcement is missing in between.
+    static constexpr std::chrono::minutes leavingRetention { 10 };
+
     explicit directory_controller(const route_bounds&);
 
     std::string_view name() const override { return "directory"; }
@@ -30,17 +38,31 @@
     /// All endpoints that are announced or kept after an outage.
     const std::map<endpoint_id, announced_endpoint>& endpoints() const { return m_endpoints; }
 
+    /// Adds the endpoints that have said in answers that they are leaving to a heartbeat.
+    void addLeaving(fleet_heartbeat&) const;
+
     /// The endpoint, or null if it is gone.
     const announced_endpoint* find(const endpoint_id&) const;
 
 private:
+    /// An incarnation that is leaving.
+    struct leaving_incarnation {
+        std::int64_t incarnation = 0;
+        time_point forgetAt = never;
+    };
+
     void observe(const directory_observed&, decision_context&);
+    void receiveLeaving(const fleet_heartbeat&, decision_context&);
+    void recordLeaving(const endpoint_id&, std::int64_t incarnation, std::string_view source, decision_context&);
+    bool isLeaving(const endpoint_id&, std::int64_t incarnation) const;
     bool applyAnnouncements(const endpoint_directory&, decision_context&);
     bool dropMissing(const endpoint_directory&, time_point readStartedAt, decision_context&);
     void publishChange(decision_context&);
 
     const route_bounds& m_bounds;
     std::map<endpoint_id, announced_endpoint> m_endpoints;
+    /// Endpoints that have said in answers, here or at another router, that they are leaving.
+    std::map<endpoint_id, leaving_incarnation> m_leaving;
     time_point m_lastRead = never;
     /// End of the grace period in which endpoints that are missing since an outage are kept.
     time_point m_keepMissingUntil = time_point::min();
--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -53,6 +53,7 @@
         [&](const request_abandoned& abandoned) { abandon(abandoned.id, context); },
         [&](const answer_begun& begun) { recordFirstByte(begun.id, context.now); },
         [&](const attempt_ended& ended) { finishAttempt(ended, context); },
+        [&](const endpoint_noticed& noticed) { recordNotice(noticed, context); },
     };
     std::visit(handlers, event);
 }
@@ -70,6 +71,7 @@
 {
     if (m_routes.current())
         heartbeat.routes = m_routes.current()->revisionNumber;
+    m_directory.addLeaving(heartbeat);
     for (const auto& [id, pool] : m_pools) {
         for (const auto& row : pool.endpoints()) {
             if (row.running > 0)
@@ -87,6 +89,12 @@
     return pool == m_pools.end() ? std::nullopt : pool->second.choose(request, m_domain, {}, now);
 }
 
+std::optional<time_point> dispatch_controller::quietUntil(const pool_id& id, time_point now) const
+{
+    const auto pool = m_pools.find(id);
+    return pool == m_pools.end() ? std::nullopt : pool->second.quietUntil(now);
+}
+
 bool dispatch_controller::hasUsableEndpoint(const pool_id& id, time_point now) const
 {
     const auto pool = m_pools.find(id);
@@ -106,14 +114,36 @@
     }
 }
 
+void dispatch_controller::recordNotice(const endpoint_noticed& noticed, decision_context& context)
+{
+    if (noticed.problem)
+        context.log.failed(noticed.endpoint.value, *noticed.problem);
+    const auto* announced = m_directory.find(noticed.endpoint);
+    const auto pool = announced ? m_pools.find(announced->pool) : m_pools.end();
+    if (!noticed.quietUntil || pool == m_pools.end())
+        return;
+    if (pool->second.recordQuiet(noticed.endpoint, noticed.incarnation, *noticed.quietUntil))
+        context.log.changed({ name(), "quiet",
+            noticed.endpoint.value + " for-ms=" + std::to_string(since(context.now, *noticed.quietUntil).count()) });
+}
+
+call_reply dispatch_controller::notRunReply(const running_call& call, failure problem, time_point now) const
+{
+    auto reply = notRun(std::move(problem));
+    reply.retryAt = quietUntil(call.context.matched->pool, now);
+    return reply;
+}
+
 void dispatch_controller::admit(const request_context& request, decision_context& context)
 {
     recordRequested(request, context.now);
     if (auto* pool = poolOf(request))
         pool->recordAdmitted(request, context.now);
     running_call call { .context = request, .arrivedAt = context.now, .endpoint = {}, .prefillTokens = {} };
-    if (!start(call, context))
-        end(std::move(call), notRun({ failure_kind::NoEndpoint }), { .id = request.id }, context);
+    if (!start(call, context)) {
+        auto reply = notRunReply(call, { failure_kind::NoEndpoint }, context.now);
+        end(std::move(call), std::move(reply), { .id = request.id }, context);
+    }
 }
 
 void dispatch_controller::recordRequested(const request_context& request, time_point now)
@@ -135,7 +165,10 @@
     if (!choice)
         return false;
     const auto& request = call.context;
-    const auto& announced = *m_directory.find(choice->endpoint);
+    const auto* known = m_directory.find(choice->endpoint);
+    if (!known)
+        return false;
+    const auto& announced = *known;
     pool->recordPlaced(request.call->prompt, *choice, context.now);
 
     const auto kind = request.matched->route->kind;
@@ -222,9 +255,11 @@
     case attempt_verdict::Resume:
         retry(std::move(call), attemptState, ended, context);
         break;
-    case attempt_verdict::EndNotRun:
-        end(std::move(call), notRun(std::move(problem)), ended, context);
+    case attempt_verdict::EndNotRun: {
+        auto reply = notRunReply(call, std::move(problem), context.now);
+        end(std::move(call), std::move(reply), ended, context);
         break;
+    }
     case attempt_verdict::EndUnknown:
         end(std::move(call), unknownOutcome(std::move(problem)), ended, context);
         break;
@@ -276,7 +311,8 @@
     }
     auto problem = ended.problem.value_or(failure { failure_kind::NoEndpoint });
     const bool hasNotRun = finalVerdictAfter(attemptState) == attempt_verdict::EndNotRun;
-    end(std::move(call), hasNotRun ? notRun(std::move(problem)) : unknownOutcome(std::move(problem)), ended, context);
+    auto reply = hasNotRun ? notRunReply(call, std::move(problem), context.now) : unknownOutcome(std::move(problem));
+    end(std::move(call), std::move(reply), ended, context);
 }
 
 void dispatch_controller::answer(running_call call, const attempt_ended& ended, decision_context& context)
--- a/src/kumquatbeam/controllers/dispatch_controller.hpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.hpp
@@ -31,6 +31,9 @@
     /// The endpoint for a request that is sent now, or nothing if no endpoint can start it in time.
     std::optional<placement> choose(const request_context&, time_point now) const;
 
+    /// When the first endpoint may be used again, if all usable endpoints of the pool have asked for quiet.
+    std::optional<time_point> quietUntil(const pool_id&, time_point now) const;
+
     /// Whether the pool has any usable endpoint, whatever its load.
     bool hasUsableEndpoint(const pool_id&, time_point now) const;
 
@@ -58,6 +61,8 @@
     };
 
     void refreshPools();
+    void recordNotice(const endpoint_noticed&, decision_context&);
+    call_reply notRunReply(const running_call&, failure, time_point now) const;
     void admit(const request_context&, decision_context&);
     void recordRequested(const request_context&, time_point now);
     /// Sends a call to an endpoint and tracks it; returns false and leaves the call unchanged if no endpoint can take
--- a/src/kumquatbeam/controllers/dispatch_pool.cpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.cpp
@@ -57,6 +57,11 @@
     for (auto& row : m_endpoints)
         row.prefillRate = defaultPrefillRate;
     m_health.setEndpoints(names);
+    // A new incarnation has asked for nothing yet.
+    std::erase_if(m_quiet, [&](const auto& entry) {
+        const auto found = announced.find(entry.first);
+        return found == announced.end() || found->second.incarnation != entry.second.incarnation;
+    });
 }
 
 void dispatch_pool::updatePeerLoad()
@@ -68,6 +73,35 @@
     }
 }
 
+bool dispatch_pool::recordQuiet(const endpoint_id& endpoint, std::int64_t incarnation, time_point until)
+{
+    auto& quiet = m_quiet[endpoint];
+    if (quiet.incarnation == incarnation && until <= quiet.until)
+        return false;
+    quiet = { incarnation, until };
+    return true;
+}
+
+bool dispatch_pool::isQuiet(const endpoint_id& endpoint, time_point now) const
+{
+    const auto quiet = m_quiet.find(endpoint);
+    return quiet != m_quiet.end() && now < quiet->second.until;
+}
+
+std::optional<time_point> dispatch_pool::quietUntil(time_point now) const
+{
+    std::optional<time_point> earliest;
+    for (const auto& row : m_endpoints) {
+        if (!mayUseWhenNotQuiet(row, now))
+            continue;
+        if (!isQuiet(row.endpoint, now))
+            return std::nullopt;
+        const auto until = m_quiet.at(row.endpoint).until;
+        earliest = std::min(earliest.value_or(until), until);
+    }
+    return earliest;
+}
+
 bool dispatch_pool::hasUsableEndpoint(time_point now) const
 {
     return std::any_of(
@@ -140,6 +174,11 @@
 }
 
 bool dispatch_pool::mayUse(const endpoint_view& row, time_point now) const
+{
+    return mayUseWhenNotQuiet(row, now) && !isQuiet(row.endpoint, now);
+}
+
+bool dispatch_pool::mayUseWhenNotQuiet(const endpoint_view& row, time_point now) const
 {
     const auto replaced = m_replaced.find(row.endpoint);
     const bool isReplaced = replaced != m_replaced.end() && now < replaced->second;
--- a/src/kumquatbeam/controllers/dispatch_pool.hpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.hpp
@@ -39,6 +39,13 @@
     const std::vector<endpoint_view>& endpoints() const { return m_endpoints; }
     bool isEjected(const endpoint_id& endpoint) const { return m_health.isEjected(endpoint); }
 
+    /// Records that an incarnation of an endpoint asks this router to send it nothing until then. Returns false if it
+    /// has asked for as much before.
+    bool recordQuiet(const endpoint_id&, std::int64_t incarnation, time_point until);
+
+    /// When the first endpoint may be used again, if all endpoints that could be used otherwise have asked for quiet.
+    std::optional<time_point> quietUntil(time_point now) const;
+
     /// Whether any endpoint is usable, whatever its load.
     bool hasUsableEndpoint(time_point now) const;
 
@@ -67,7 +74,15 @@
     void recordOutcome(const attempt_ended&, time_point now);
 
 private:
+    /// A request of an endpoint to be left alone.
+    struct quiet_period {
+        std::int64_t incarnation = 0;
+        time_point until {};
+    };
+
     endpoint_view* find(const endpoint_id&);
+    bool mayUseWhenNotQuiet(const endpoint_view&, time_point now) const;
+    bool isQuiet(const endpoint_id&, time_point now) const;
     bool mayUse(const endpoint_view&, time_point now) const;
     std::chrono::microseconds waitLimitOf(const request_context&, time_point now) const;
 
@@ -80,6 +95,7 @@
     account_shares m_shares;
     /// Endpoints at whose address another one has answered, and when each may be used again.
     std::map<endpoint_id, time_point> m_replaced;
+    std::map<endpoint_id, quiet_period> m_quiet;
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/duties/endpoints_duty.cpp
+++ b/src/kumquatbeam/duties/endpoints_duty.cpp
@@ -43,6 +43,12 @@
     m_links.decisions->post(std::move(ended));
 }
 
+void endpoints_duty::notice(endpoint_noticed noticed)
+{
+    // A notice that a full ring drops comes again with the endpoint's next answer.
+    static_cast<void>(m_links.decisions->tryPost(std::move(noticed)));
+}
+
 std::shared_ptr<endpoint_connection> endpoints_duty::takeConnection(const start_attempt& attempt)
 {
     return m_connections.take(attempt.to, attempt.needsFreshConnection, clock::now());
--- a/src/kumquatbeam/duties/endpoints_duty.hpp
+++ b/src/kumquatbeam/duties/endpoints_duty.hpp
@@ -31,6 +31,7 @@
     const endpoint_dialect& dialect() const override { return m_dialect; }
     void relay(caller_command) override;
     void finish(attempt_ended) override;
+    void notice(endpoint_noticed) override;
     std::string streamIdOf(request_id) const override;
     std::uint64_t bodyLimit() const override { return static_cast<std::uint64_t>(m_settings.bodyLimit); }
     const std::string& sourceAddress() const override { return m_settings.sourceAddress; }
--- a/src/kumquatbeam/filters/load_shedding_filter.cpp
+++ b/src/kumquatbeam/filters/load_shedding_filter.cpp
@@ -37,7 +37,8 @@
     const auto& pool = context.matched->pool;
     const auto kind = m_dispatch.hasUsableEndpoint(pool, now) ? failure_kind::PoolBusy : failure_kind::NoEndpoint;
     auto reply = notRun({ kind, pool.value });
-    reply.retryAt = retryTimeOf(context, now);
+    const auto quietUntil = m_dispatch.quietUntil(pool, now);
+    reply.retryAt = quietUntil ? *quietUntil : retryTimeOf(context, now);
     return reply;
 }
 
--- a/src/kumquatbeam/sessions/endpoint_session.cpp
+++ b/src/kumquatbeam/sessions/endpoint_session.cpp
@@ -175,10 +175,21 @@
     handleHead();
 }
 
+void endpoint_session::reportNotice()
+{
+    auto notice = m_delegate.dialect().noticeOf(m_parser->get(), clock::now());
+    if (!notice.isEmpty())
+        m_delegate.notice({ m_attempt.to.endpoint, m_attempt.to.incarnation, notice.isLeaving, notice.quietUntil,
+            std::move(notice.problem) });
+}
+
 void endpoint_session::handleHead()
 {
     const auto& head = m_parser->get();
     const auto classification = m_delegate.dialect().classify(head, m_parser->need_eof(), m_attempt, m_streamId);
+    // At a reused address, another endpoint speaks about itself.
+    if (classification.problem != failure_kind::EndpointReplaced)
+        reportNotice();
     switch (classification.answerClass) {
     case answer_class::Answer:
         if (m_delivery == answer_delivery::Events && head.result_int() >= lowestFailureStatus)
--- a/src/kumquatbeam/sessions/endpoint_session.hpp
+++ b/src/kumquatbeam/sessions/endpoint_session.hpp
@@ -27,6 +27,10 @@
     virtual const endpoint_dialect& dialect() const = 0;
     virtual void relay(caller_command) = 0;
     virtual void finish(attempt_ended) = 0;
+
+    /// Reports what the endpoint says about itself, as soon as the head of its answer has arrived.
+    virtual void notice(endpoint_noticed) = 0;
+
     virtual std::string streamIdOf(request_id) const = 0;
     virtual std::uint64_t bodyLimit() const = 0;
     virtual const std::string& sourceAddress() const = 0;
@@ -94,6 +98,7 @@
     void readHead();
     void onHead(boost::beast::error_code);
     void handleHead();
+    void reportNotice();
     void skipUnrelatedAnswer();
     void handleRefusal(failure_kind);
     void relayHead();
--- a/src/kumquatbeam/types/peer_message.hpp
+++ b/src/kumquatbeam/types/peer_message.hpp
@@ -127,6 +127,12 @@
         /// @}
     };
 
+    /// An incarnation of an endpoint that has said in an answer that it is leaving.
+    struct leaving_row {
+        wire_key endpoint;
+        std::int64_t incarnation = 0;
+    };
+
     entry_vm_id from;
     incarnation_id incarnation;
     failure_domain_id domain;
@@ -139,6 +145,7 @@
     std::vector<known_router> knownRouters;
     std::vector<endpoint_row> endpoints;
     std::vector<account_row> accounts;
+    std::vector<leaving_row> leavingEndpoints {};
 };
 
 /// Any message between two daemons.
--- a/tests/unit/peer_codec.tests.cpp
+++ b/tests/unit/peer_codec.tests.cpp
@@ -108,3 +108,14 @@
     CHECK_FALSE(isAccepted(48, -1));
     CHECK_FALSE(isAccepted(48, std::numeric_limits<std::int64_t>::max()));
 }
+
+TEST_CASE("A heartbeat carries the endpoints that are leaving [peer_codec]")
+{
+    fleet_heartbeat heartbeat { .from = { "r2" } };
+    heartbeat.leavingEndpoints.push_back({ { 7 }, 1764900000000 });
+    const auto decoded = roundTrip(heartbeat);
+    const auto& rows = std::get<fleet_heartbeat>(decoded).leavingEndpoints;
+    REQUIRE(rows.size() == 1);
+    CHECK(rows.front().endpoint == wire_key { 7 });
+    CHECK(rows.front().incarnation == 1764900000000);
+}
--- a/tests/unit/platform/dialects.tests.cpp
+++ b/tests/unit/platform/dialects.tests.cpp
@@ -182,7 +182,8 @@
 TEST_CASE("The keep-alive policy and the load are decoded from an answer [platform]")
 {
     const platform_endpoint_dialect dialect;
-    const auto policy = dialect.keepAlivePolicyOf(answer(200, { { "Attempt-Id", "9c41" }, { "Keep-Alive", "max=3, timeout=7" } }));
+    const auto policy
+        = dialect.keepAlivePolicyOf(answer(200, { { "Attempt-Id", "9c41" }, { "Keep-Alive", "max=3, timeout=7" } }));
     CHECK(policy.isReusable);
     // Without its id, a second copy of the answer could be taken for the next one.
     CHECK_FALSE(dialect.keepAlivePolicyOf(answer(200, { { "Keep-Alive", "max=3, timeout=7" } })).isReusable);
@@ -198,3 +199,26 @@
     CHECK_FALSE(hasField(
         dialect.forwardedFields(answer(200, { { "Server-Load", "3,2,8" }, { "Keep-Alive", "x" } })), "Server-Load"));
 }
+
+TEST_CASE("An endpoint's notices are decoded from any answer [platform]")
+{
+    const platform_endpoint_dialect dialect;
+    CHECK(dialect.noticeOf(answer(200, {}), now).isEmpty());
+    for (const unsigned status : { 200U, 500U, 503U })
+        CHECK(dialect.noticeOf(answer(status, { { "Server-Leaving", "1" } }), now).isLeaving);
+    CHECK_FALSE(dialect.noticeOf(answer(200, { { "Server-Leaving", "0" } }), now).isLeaving);
+    const auto quietOf = [&](unsigned status, const std::string& delay) {
+        return dialect.noticeOf(answer(status, { { "Retry-After", delay } }), now);
+    };
+    CHECK(quietOf(503, "2").quietUntil == now + std::chrono::seconds(2));
+    CHECK(quietOf(503, "0").quietUntil == now);
+    CHECK(quietOf(503, "1.25").quietUntil == now + std::chrono::milliseconds(1250));
+    CHECK(quietOf(503, "1.2509").quietUntil == now + std::chrono::milliseconds(1250));
+    CHECK(quietOf(503, "99999999999").quietUntil == now + std::chrono::hours(1));
+    CHECK(quietOf(200, "2").isEmpty());
+    for (const char* delay :
+        { "-1", "soon", "1e3", "1.", ".5", "1.x", "nan", "99999999999999999999999", "Wed, 21 Oct 2026 07:28:00 GMT" }) {
+        CHECK_FALSE(quietOf(503, delay).quietUntil);
+        CHECK(quietOf(503, delay).problem);
+    }
+}
--- a/tests/unit/routing_core.tests.cpp
+++ b/tests/unit/routing_core.tests.cpp
@@ -204,3 +204,71 @@
     const auto recipients = commands.all<send_heartbeat>().back().to;
     CHECK(std::find(recipients.begin(), recipients.end(), entry_vm_id { "r3" }) != recipients.end());
 }
+
+TEST_CASE_FIXTURE(routing_fixture, "An endpoint that asks for quiet gets nothing until then [routing]")
+{
+    publish(table(1));
+    announce({ endpoint("b1", "book"), endpoint("b2", "book") });
+    const auto until = now + std::chrono::seconds(2);
+    handle(endpoint_noticed { { "b1" }, 1, false, until });
+    for (int i = 0; i < 12; ++i) {
+        sendRequest("/lookup/1");
+        CHECK(lastAttempt()->to.endpoint.value == "b2");
+    }
+    SUBCASE("a shorter time asked for later takes nothing back")
+    {
+        handle(endpoint_noticed { { "b1" }, 1, false, now + std::chrono::milliseconds(100) });
+        pass(std::chrono::milliseconds(1000));
+        publish(table(1));
+        sendRequest("/lookup/1");
+        CHECK(lastAttempt()->to.endpoint.value == "b2");
+    }
+    SUBCASE("retries too")
+    {
+        const auto id = sendRequest("/lookup/1");
+        const auto before = attempts();
+        handle(attemptEnd(id, attempt_outcome::Refused, failure_kind::EndpointRefused));
+        CHECK(attempts() == before);
+        CHECK(replyTo(id)->kind == reply_kind::NotRun);
+    }
+    SUBCASE("it is used again afterwards")
+    {
+        pass(std::chrono::milliseconds(2000));
+        publish(table(1));
+        announce({ endpoint("b1", "book"), endpoint("b2", "book") });
+        sendRequest("/lookup/1");
+        CHECK(lastAttempt()->to.endpoint.value == "b1");
+    }
+    SUBCASE("a new incarnation has asked for nothing")
+    {
+        announce({ endpoint("b1", "book", 2), endpoint("b2", "book") });
+        sendRequest("/lookup/1");
+        CHECK(lastAttempt()->to.endpoint.value == "b1");
+    }
+}
+
+TEST_CASE_FIXTURE(
+    routing_fixture, "If all endpoints ask for quiet, a caller is refused at once with the earliest time [routing]")
+{
+    publish(table(1));
+    announce({ endpoint("b1", "book"), endpoint("b2", "book") });
+    handle(endpoint_noticed { { "b1" }, 1, false, now + std::chrono::seconds(4) });
+    handle(endpoint_noticed { { "b2" }, 1, false, now + std::chrono::seconds(3) });
+    const auto reply = replyTo(sendRequest("/lookup/1"));
+    REQUIRE(reply);
+    CHECK(attempts() == 0);
+    CHECK(reply->kind == reply_kind::NotRun);
+    CHECK(reply->retryAt == now + std::chrono::seconds(3));
+}
+
+TEST_CASE_FIXTURE(routing_fixture, "A request for quiet that is not understood is logged and changes nothing [routing]")
+{
+    publish(table(1));
+    announce({ endpoint("b1", "book") });
+    handle(endpoint_noticed { .endpoint = { "b1" },
+        .incarnation = 1,
+        .problem = failure { failure_kind::MalformedValue, "Retry-After", "soon", "seconds" } });
+    CHECK(log.failures.size() == 1);
+    sendRequest("/lookup/1");
+    CHECK(attempts() == 1);
+}
--- a/tests/unit/sessions/endpoint_session.tests.cpp
+++ b/tests/unit/sessions/endpoint_session.tests.cpp
@@ -142,3 +142,23 @@
         }
     }
 }
+
+TEST_CASE("What an endpoint says about itself is reported with the head of its answer [endpoint_session]")
+{
+    endpoint_session_fixture fixture(
+        { .opening = sealedHead + "Server-Leaving: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n" });
+    fixture.start(fixture.attempt(5s, answer_delivery::Events));
+    CHECK(runUntil(
+        fixture.context, [&] { return fixture.duty.notices.size() == 1; }, 2s));
+    CHECK(fixture.duty.notices.front().isLeaving);
+    CHECK(fixture.duty.outcomes.empty());
+}
+
+TEST_CASE("What another endpoint at a reused address says is not reported [endpoint_session]")
+{
+    endpoint_session_fixture fixture({ .opening = "HTTP/1.1 421 Misdirected\r\nServer-Leaving: 1\r\n\r\n" });
+    fixture.start(fixture.attempt(5s));
+    REQUIRE(fixture.outcome(2s));
+    CHECK(fixture.duty.outcomes.front().outcome == attempt_outcome::Refused);
+    CHECK(fixture.duty.notices.empty());
+}
--- a/tests/unit/sessions/endpoint_session_fixture.hpp
+++ b/tests/unit/sessions/endpoint_session_fixture.hpp
@@ -19,6 +19,7 @@
     const endpoint_dialect& dialect() const override { return m_dialect; }
     void relay(caller_command command) override { relayed.push_back(std::move(command)); }
     void finish(attempt_ended ended) override { outcomes.push_back(std::move(ended)); }
+    void notice(endpoint_noticed noticed) override { notices.push_back(std::move(noticed)); }
     std::string streamIdOf(request_id) const override { return "stream"; }
     std::uint64_t bodyLimit() const override { return 1024 * 1024; }
     const std::string& sourceAddress() const override { return m_source; }
@@ -33,6 +34,7 @@
 
     std::vector<caller_command> relayed;
     std::vector<attempt_ended> outcomes;
+    std::vector<endpoint_noticed> notices;
     connection_pool pool;
 
 private:
