--- /dev/null
+++ b/tests/scenarios/reported_failures.py
@@ -0,0 +1,230 @@
+"""Brings about the failures that operators of similar systems have reported, over real entry routers on a stand-in for the
+users' platform, and checks that none of them happens here."""
+
+import json
+import socket
+import struct
+import sys
+import time
+import urllib.parse
+
+import platform_fleet
+from checks import Checks
+from platform_fleet import Caller, in_background, raw_exchange
+
+# Memory that a router may gain while answers and requests without end arrive: their buffers of 64 KiB, the answers that are
+# buffered up to 4 MiB each, and what the allocator keeps.
+MEMORY_GROWTH_LIMIT_KIB = 32 * 1024
+
+# Time within which an answer without end is given up, from the stated limits: it fills a buffer within a moment, and the rest
+# of a refusal or of another call's answer is read for half a second at most.
+ENDLESS_LIMIT_SECONDS = 3
+
+
+def expected_events(request_id, last):
+    return "".join(f"id: {number}\ndata: {request_id} event {number}\n\n" for number in range(1, last + 1)).encode()
+
+
+def memory_of(router):
+    """Resident memory of the router's process, in KiB."""
+    with open(f"/proc/{router.process.pid}/status", encoding="ascii") as status:
+        return next(int(line.split()[1]) for line in status if line.startswith("VmRSS:"))
+
+
+def check_serving(checks, running, router, name):
+    """Checks that the router still runs and gives a caller its own answer."""
+    checks.true(f"the router runs after {name}", router.process.poll() is None)
+    status, _, body = Caller(router).call(f"after-{name}", "/lookup/1")
+    checks.true(f"the next caller after {name} gets its own answer", status == 200 and b"/lookup/1" in body, status)
+
+
+def check_second_copy(checks, running, router):
+    """A server sent a second copy of an answer, late, on a connection that was in use again."""
+    for number in range(6):
+        caller = Caller(router)
+        status, _, body = caller.call(f"copy{number}", "/lookup/first", X_Fault="copy-late")
+        checks.true(f"the answer before its copy is whole ({number})", status == 200 and b"/lookup/first" in body)
+        # Longer than the delay of the copy, so that it arrives where this call's answer is due.
+        status, _, body = caller.call(f"next{number}", "/lookup/second", X_Pause_Ms=150)
+        checks.true(f"a call after a late copy gets its own answer ({number})", status == 200 and b"/lookup/second" in body, body)
+
+
+def check_slow_and_stalled_streams(checks, running, router):
+    """Slow but sound streams were cut, and stalled ones that sent a byte now and then never ended."""
+    slow = in_background(lambda: Caller(router).call("slow", "/quote/1", X_Events=5, X_Pause_Ms=1200))
+    started = time.monotonic()
+    status, _, body = Caller(router).call("stalled", "/quote/1", X_Events=5, X_Fault="stall", deadline_ms=3000)
+    lasted = time.monotonic() - started
+    checks.equal("a stalled stream is recognisable as truncated", (status, body), (200, None))
+    checks.true("a stalled stream ends at the caller's deadline", 2.5 < lasted < 4, f"{lasted:.1f} s")
+    checks.equal("a slow but sound stream is whole", slow()[::2], (200, expected_events("slow", 5)))
+
+
+def check_silent_worker(checks, running, router):
+    """A machine that was only silent or slow to report for a while had its running work started again or given up."""
+    stream = in_background(lambda: Caller(router).call("through-silence", "/plan/1", X_Events=3, X_Pause_Ms=2000))
+    plain = in_background(lambda: Caller(router).call("slow-order", "/order/1", X_Pause_Ms=5000))
+    time.sleep(0.5)
+    for name in running.workers:
+        running.withdraw(name)
+    time.sleep(1.5)
+    for name in running.workers:
+        running.announce(name)
+    checks.equal("a stream of a worker that is silent and unannounced for a while is whole",
+                 stream()[::2], (200, expected_events("through-silence", 3)))
+    checks.equal("it ran once", len(running.workers_that_ran("through-silence")), 1)
+    checks.equal("an order that takes long is answered", plain()[0], 200)
+    checks.equal("it ran once, too", len(running.workers_that_ran("slow-order")), 1)
+    time.sleep(1)
+
+
+def check_half_answers(checks, running, router):
+    """An answer that broke off halfway reached the caller as a complete success."""
+    for fault, path in (("truncate", "/order/1"), ("truncate", "/quote/1"), ("inside", "/quote/1")):
+        extra = {"X_Events": 8} if path == "/quote/1" else {}
+        status, _, body = Caller(router).call(f"half-{fault}-{path[1:6]}", path, X_Fault=fault, **extra)
+        checks.true(f"a half answer is no success ({fault} {path})", body is None or status != 200, (status, body))
+
+
+def check_endless_answers(checks, running, router):
+    """Bytes that are no answer come without end, in a head or a body, until the caller closes."""
+    before = memory_of(router)
+    # The refusals come first: after the other faults, one of the two workers is ejected, and no second attempt is possible.
+    for fault, expected in (("endless-refusal", 200), ("endless-head", 502), ("endless-extension", 502), ("large-trailer", 502)):
+        started = time.monotonic()
+        calls = [in_background(lambda name=f"{fault}{number}", fault=fault: Caller(router).call(name, "/order/1", X_Fault=fault))
+                 for number in range(4)]
+        other = Caller(router).call(f"beside-{fault}", "/lookup/1")[0]
+        statuses = [call()[0] for call in calls]
+        checks.at_most(f"{fault}: given up", round(time.monotonic() - started, 1), ENDLESS_LIMIT_SECONDS)
+        # The attempts of the four calls meet two workers; a refusal leads to a second attempt, which is answered.
+        checks.true(f"{fault}: the outcome of each caller", all(status == expected for status in statuses), statuses)
+        checks.equal(f"{fault}: another caller is served meanwhile", other, 200)
+        check_serving(checks, running, router, fault)
+    checks.at_most("memory gained in KiB", memory_of(router) - before, MEMORY_GROWTH_LIMIT_KIB)
+
+
+def check_malformed_messages(checks, running, router):
+    """One malformed message or unexpected error took a whole process down."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+        datagrams.bind((router.address, 0))
+        for size in (0, 1, 4, 5, 12, 64, 1400):
+            for fill in (b"\0", b"\xff", b"\x04"):
+                body = fill * size
+                for datagram in (body, struct.pack(">I", len(body)) + body):
+                    datagrams.sendto(datagram, (router.address, router.first_internal_port))
+        # A frame whose table names the type of a body and leaves the body out.
+        for tag in range(11):
+            table = struct.pack("<IHHHHIB3x", 12, 8, 8, 7, 0, 8, tag)
+            datagrams.sendto(struct.pack(">I", len(table)) + table, (router.address, router.first_internal_port))
+    head = b"POST /order/1 HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer key-weavers\r\nAttempt-Id: odd\r\n"
+    large = b"X-Large: " + b"x" * 70000 + b"\r\n\r\n"
+    for request in (b"\0" * 100, b"GET\r\n\r\n", head + large, head + b"Transfer-Encoding: chunked\r\n\r\n0\r\n" + large,
+                    head + b"Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\n", head + b"Content-Length: -1\r\n\r\n"):
+        try:
+            raw_exchange(router, request, timeout=1)
+        except ConnectionError:
+            pass
+    check_serving(checks, running, router, "malformed-messages")
+
+
+def check_odd_entries(checks, running, router):
+    """Another writer left one odd entry among those of the workers."""
+    good = {"service": "book", "address": "127.0.0.1:9", "zone": "sohar", "slots": 6, "state": "ready", "born": 1}
+    nested = "[" * 200000 + "]" * 200000
+    odd = {"deep": '{"service":%s}' % nested, "open": "[" * 300000,
+           "slots": json.dumps({**good, "slots": 5000000000}), "born": json.dumps({**good, "born": 1e30}),
+           "port": json.dumps({**good, "address": "127.0.0.1:99999"}), "list": "[]", "null": "null", "bytes": "\x00",
+           "name\r\nHold: 1": json.dumps(good)}
+    for name, text in odd.items():
+        running.store("put", text.encode(), key=urllib.parse.quote(f"servers/{name}"))
+    running.announce("plain0", state="draining", born=3)
+    time.sleep(2.5)
+    for number in range(6):
+        Caller(router).call(f"past-odd{number}", "/lookup/1")
+    arrivals = [arrival["id"] for arrival in running.worker_record("plain0")["arrivals"]]
+    checks.true("the router goes on following the list", not any(arrived.startswith("past-odd") for arrived in arrivals))
+    check_serving(checks, running, router, "odd-entries")
+    running.announce("plain0", born=4)
+    time.sleep(1.5)
+
+
+def check_leaving_workers(checks, running, router, other):
+    """A worker says in an answer that it leaves, while the store still says that it is ready."""
+    Caller(router).call("farewell", "/lookup/1", X_Fault="leaving")
+    worker = running.workers_that_ran("farewell")[0]
+    time.sleep(2)
+    for number in range(6):
+        Caller(router).call(f"stayed{number}", "/lookup/1")
+        Caller(other).call(f"told{number}", "/lookup/1")
+    arrivals = [arrival["id"] for arrival in running.worker_record(worker)["arrivals"]]
+    checks.true("a worker that has said that it leaves gets no request", not any(name.startswith("stayed") for name in arrivals))
+    checks.true("nor from another router", not any(name.startswith("told") for name in arrivals))
+    running.announce(worker, born=7)
+    time.sleep(1.5)
+
+
+def check_quiet_workers(checks, running, router):
+    """A worker refuses a request and asks for two seconds of quiet."""
+    answered = [Caller(router).call(f"quiet{number}", "/lookup/1", X_Fault="quiet")[0] for number in range(1)]
+    checks.equal("a request that is refused for quiet is served by another worker", answered, [200])
+    refused_at = running.arrivals_of("quiet0")[0]["at"]
+    quiet = [name for name in running.workers if running.worker_record(name)["arrivals"][-1:] and
+             any(arrival["id"] == "quiet0" for arrival in running.worker_record(name)["arrivals"]) and
+             "quiet0" not in running.worker_record(name)["runs"]]
+    while time.monotonic() < refused_at + 1.9:
+        Caller(router).call(f"hushed{time.monotonic()}", "/lookup/1")
+    late = [arrival["at"] - refused_at for name in quiet for arrival in running.worker_record(name)["arrivals"]
+            if 0.5 < arrival["at"] - refused_at < 2]
+    checks.equal("one worker has asked for quiet", len(quiet), 1)
+    checks.at_most("requests that reach it between half a second later and the end of the time", len(late), 2)
+    time.sleep(0.5)
+    before = len(running.worker_record(quiet[0])["arrivals"])
+    for number in range(12):
+        Caller(router).call(f"again{number}", "/lookup/1")
+    checks.at_least("requests that reach it afterwards", len(running.worker_record(quiet[0])["arrivals"]) - before, 1)
+
+
+def check_planned_stop(checks, running, router):
+    """During a planned stop under load, requests that had just been accepted were cut off without an answer."""
+    callers = [Caller(router) for _ in range(12)]
+    for number, caller in enumerate(callers):
+        caller.call(f"warm{number}", "/lookup/1")
+    calls = [in_background(lambda caller=caller, number=number: caller.call(f"stop{number}", "/order/1", X_Pause_Ms=number * 300))
+             for number, caller in enumerate(callers)]
+    time.sleep(0.02)
+    running.terminate(router)
+    late = []
+    for number in range(20):
+        try:
+            late.append(Caller(router).call(f"late{number}", "/lookup/1")[0])
+        except OSError:
+            late.append(None)
+        time.sleep(0.1)
+    statuses = [call() for call in calls]
+    checks.true("every request accepted before the stop is answered", all(got and got[0] == 200 for got in statuses),
+                [got and got[0] for got in statuses])
+    checks.true("every request accepted during the notice is answered", all(status == 200 for status in late), late)
+    checks.equal("the stop ends with code 0", router.process.wait(20), 0)
+
+
+def main():
+    checks = Checks("reported failures")
+    with platform_fleet.PlatformFleet() as running:
+        router, other = running.routers
+        check_second_copy(checks, running, router)
+        check_slow_and_stalled_streams(checks, running, router)
+        check_silent_worker(checks, running, router)
+        check_half_answers(checks, running, router)
+        check_endless_answers(checks, running, router)
+        check_malformed_messages(checks, running, router)
+        check_odd_entries(checks, running, router)
+        check_leaving_workers(checks, running, router, other)
+        check_quiet_workers(checks, running, router)
+        check_planned_stop(checks, running, router)
+        check_serving(checks, running, other, "all-of-it")
+    return checks.conclude()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/standins/platform_worker.py
+++ b/tests/standins/platform_worker.py
@@ -7,7 +7,9 @@
 refuse (503 with Not-Executed), misdirect (421), fail (500), foreign (another request's answer precedes the answer), extra
 (another request's answer follows the answer), close-ended (no length; the connection close ends the answer), truncate (the
 connection is reset midway), inside (the stream is reset inside an event), mute (no answer), unsealed (a success without a
-Response-Seal).
+Response-Seal), copy-late (a second copy of the answer follows 50 ms later), stall (a stream sends its first event, then a byte of
+the next one now and then), leaving (the answer says that the worker leaves), quiet (a refusal that asks for 2 s of quiet),
+endless-head, endless-extension, endless-refusal, large-trailer (bytes that end an answer never, or in a field that is too large).
 
 GET /control/seen returns, for the worker of the port, the requests that arrived, that ran and that the caller cancelled, and
 the number of connections.
@@ -24,6 +26,19 @@
 from http_server import read_request
 
 
+COPY_DELAY = 0.05
+STALL_PAUSE = 0.1
+
+# Header fields of an answer that never ends as it should, and the bytes that are repeated after its head.
+KILOBYTE = b"x" * 1024
+ENDLESS = {
+    "endless-head": ("X-Line: ", KILOBYTE),
+    "endless-extension": ("Transfer-Encoding: chunked\r\n\r\n4;name=", KILOBYTE),
+    "endless-refusal": ("Not-Executed: 1\r\nContent-Length: 100000000000\r\n\r\n", KILOBYTE),
+    "large-trailer": ("Transfer-Encoding: chunked\r\n\r\n0\r\nX-Large: " + "x" * 70000 + "\r\n\r\n", b""),
+}
+
+
 @dataclass
 class WorkerRecord:
     arrivals: list = field(default_factory=list)
@@ -83,6 +98,11 @@
         if fault == "refuse":
             writer.write(self.complete_response(request_id, b"", 503, "Not-Executed: 1\r\n", sealed=False))
             return True
+        if fault == "quiet":
+            writer.write(self.complete_response(request_id, b"", 503, "Not-Executed: 1\r\nRetry-After: 2\r\n", sealed=False))
+            return True
+        if fault in ENDLESS:
+            return await self.send_endlessly(request_id, fault, writer)
         self.record.runs.append(request_id)
         if fault == "mute":
             await reader.read()
@@ -104,6 +124,13 @@
             writer.write(self.complete_response("somebody-else", b"not yours") + self.complete_response(request_id, body))
         elif fault == "extra":
             writer.write(self.complete_response(request_id, body) + self.complete_response("somebody-else", b"not yours"))
+        elif fault == "copy-late":
+            writer.write(self.complete_response(request_id, body))
+            await writer.drain()
+            await asyncio.sleep(COPY_DELAY)
+            writer.write(self.complete_response(request_id, body))
+        elif fault == "leaving":
+            writer.write(self.complete_response(request_id, body, extra="Server-Leaving: 1\r\n"))
         elif fault == "unsealed":
             writer.write(self.complete_response(request_id, body, sealed=False))
         elif fault == "close-ended":
@@ -120,6 +147,16 @@
         await writer.drain()
         return True
 
+    async def send_endlessly(self, request_id, fault, writer):
+        """Sends the fault's bytes until the other side closes."""
+        opening, repeated = ENDLESS[fault]
+        writer.write(self.response_head(request_id, 503 if fault == "endless-refusal" else 200, opening).encode())
+        await writer.drain()
+        while repeated:
+            writer.write(repeated)
+            await writer.drain()
+        return True
+
     async def stream(self, request, request_id, fault, reader, writer):
         first = int(request.headers.get("last-event-id", "0")) + 1
         last = int(request.headers["x-events"])
@@ -133,6 +170,8 @@
                 self.record.cancelled_at[request_id] = time.monotonic()
                 return False
             event = f"id: {number}\ndata: {request_id} event {number}\n\n".encode()
+            if fault == "stall" and number > first:
+                await self.stall(event, writer)
             if fault in ("inside", "truncate") and number == (first + last) // 2:
                 half = event[: len(event) // 2] if fault == "inside" else event
                 writer.write(f"{len(half):x}\r\n".encode() + half + b"\r\n")
@@ -147,6 +186,14 @@
         return True
 
 
+    async def stall(self, event, writer):
+        """Sends an event that never ends, a byte now and then, until the other side closes."""
+        while True:
+            writer.write(b"1\r\n" + event[:1] + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(STALL_PAUSE)
+
+
 def reset(writer):
     """Closes the connection with a TCP reset."""
     writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
