--- a/tests/scenarios/reported_failures.py
+++ b/tests/scenarios/reported_failures.py
@@ -53,7 +53,10 @@
     """Slow but sound streams were cut, and stalled ones that sent a byte now and then never ended."""
     slow = in_background(lambda: Caller(router).call("slow", "/quote/1", X_Events=5, X_Pause_Ms=1200))
     started = time.monotonic()
-    status, _, body = Caller(router).call("stalled", "/quote/1", X_Events=5, X_Fault="stall", deadline_ms=3000)
+    try:
+        status, _, body = Caller(router, timeout=8).call("stalled", "/quote/1", X_Events=5, X_Fault="stall", deadline_ms=3000)
+    except TimeoutError:
+        status, body = "no end", None
     lasted = time.monotonic() - started
     checks.equal("a stalled stream is recognisable as truncated", (status, body), (200, None))
     checks.true("a stalled stream ends at the caller's deadline", 2.5 < lasted < 4, f"{lasted:.1f} s")
