--- a/tests/unit/sessions/caller_session.tests.cpp
+++ b/tests/unit/sessions/caller_session.tests.cpp
@@ -144,7 +144,7 @@
 struct caller_fixture {
     std::shared_ptr<scripted_caller> call(std::string opening, std::string repeated = {}, bool reads = true)
     {
-        const auto caller = std::make_shared<scripted_caller>(context);
+        auto caller = std::make_shared<scripted_caller>(context);
         caller->start(duty.address(), std::move(opening), std::move(repeated), reads);
         return caller;
     }
--- a/tests/unit/sessions/endpoint_session_fixture.hpp
+++ b/tests/unit/sessions/endpoint_session_fixture.hpp
@@ -69,7 +69,7 @@
 
     std::shared_ptr<endpoint_session> start(start_attempt attempt)
     {
-        const auto session = std::make_shared<endpoint_session>(context, duty, std::move(attempt));
+        auto session = std::make_shared<endpoint_session>(context, duty, std::move(attempt));
         session->start();
         return session;
     }
