Refuse a frame between routers whose rows are misaligned

Cause: FlatBuffers' verifier checks the bounds of a vector of structs, not its alignment, so a crafted frame was read at a misaligned address: undefined, and a report of UndefinedBehaviorSanitizer. Found by the fuzzer heartbeat_frame in 90 s by hand. The test with that input is red on the codec before this change (UBSan, peer_codec.cpp:288) and green after.

--- a/src/kumquatbeam/codec/peer_codec.cpp
+++ b/src/kumquatbeam/codec/peer_codec.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <limits>
 #include <optional>
 
@@ -260,8 +261,16 @@
         return message;
     }
 
+    /// The verifier checks the bounds of a vector of structs, but not its alignment.
+    template <typename Row> bool isAligned(const flatbuffers::Vector<const Row*>* rows)
+    {
+        return !rows || reinterpret_cast<std::uintptr_t>(rows->Data()) % alignof(Row) == 0;
+    }
+
     std::optional<peer_message> unpack(const frames::slot_report& body, time_point)
     {
+        if (!isAligned(body.accounts()) || !isAligned(body.endpoints()))
+            return std::nullopt;
         slot_report message { { body.pool() }, { body.document() }, {}, {} };
         if (body.accounts()) {
             for (const auto* row : *body.accounts()) {
@@ -279,7 +288,8 @@
 
     std::optional<peer_message> unpack(const frames::slot_grant& body, time_point)
     {
-        if (!remainingRange.contains(body.remaining_ms()))
+        if (!isAligned(body.accounts()) || !isAligned(body.endpoints())
+            || !remainingRange.contains(body.remaining_ms()))
             return std::nullopt;
         slot_grant message { { body.pool() }, { body.document() }, body.sequence(),
             std::chrono::milliseconds(body.remaining_ms()), {}, {} };
@@ -302,6 +312,8 @@
 
     std::optional<peer_message> unpack(const frames::fleet_beat& body, time_point)
     {
+        if (!isAligned(body.endpoints()) || !isAligned(body.accounts()) || !isAligned(body.leaving()))
+            return std::nullopt;
         fleet_heartbeat message { .from = { unpackText(body.from()) },
             .incarnation = { body.life() },
             .domain = { unpackText(body.domain()) },
--- a/tests/unit/peer_codec.tests.cpp
+++ b/tests/unit/peer_codec.tests.cpp
@@ -3,6 +3,7 @@
 #include "kumquatbeam/codec/generated/peer_frames_generated.h"
 #include "kumquatbeam/types/failure.hpp"
 
+#include <absl/strings/escaping.h>
 #include <doctest/doctest.h>
 
 #include <limits>
@@ -119,3 +120,12 @@
     CHECK(rows.front().endpoint == wire_key { 7 });
     CHECK(rows.front().incarnation == 1764900000000);
 }
+
+TEST_CASE("A frame whose rows are misaligned is refused [peer_codec]")
+{
+    // Found by the fuzzer heartbeat_frame: the verifier accepts it.
+    std::string bytes;
+    REQUIRE(absl::Base64Unescape(
+        "CAAAABwACAAIAAAAIAAAAAgAAAAIAAgvFAAAAAAACAAIAAAACAAKAAEAAAAAAAAA////////////C///////AAA=", &bytes));
+    CHECK_FALSE(decodeFrame(bytes, time_point {}).ok());
+}
