--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -165,15 +165,14 @@
     if (!choice)
         return false;
     const auto& request = call.context;
-    const auto* known = m_directory.find(choice->endpoint);
-    if (!known)
+    const auto* announced = m_directory.find(choice->endpoint);
+    if (!announced)
         return false;
-    const auto& announced = *known;
     pool->recordPlaced(request.call->prompt, *choice, context.now);
 
     const auto kind = request.matched->route->kind;
     start_attempt attempt { .id = request.id,
-        .to = { announced.id, announced.address, announced.port, announced.incarnation },
+        .to = { announced->id, announced->address, announced->port, announced->incarnation },
         .call = request.call,
         .account = request.account,
         .sendBefore = std::min(request.sendBefore, request.deadline),
--- a/src/kumquatbeam/controllers/dispatch_pool.cpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.cpp
@@ -91,6 +91,9 @@
 std::optional<time_point> dispatch_pool::quietUntil(time_point now) const
 {
     std::optional<time_point> earliest;
+    // The usual case, and each refusal asks.
+    if (m_quiet.empty())
+        return earliest;
     for (const auto& row : m_endpoints) {
         if (!mayUseWhenNotQuiet(row, now))
             continue;
