--- a/src/kumquatbeam/codec/peer_codec.cpp
+++ b/src/kumquatbeam/codec/peer_codec.cpp
@@ -261,10 +261,11 @@
         return message;
     }
 
-    /// The verifier checks the bounds of a vector of structs, but not its alignment.
+    /// The verifier checks the bounds of a vector of structs, but not its alignment. The builder does not align an
+    /// empty vector.
     template <typename Row> bool isAligned(const flatbuffers::Vector<const Row*>* rows)
     {
-        return !rows || reinterpret_cast<std::uintptr_t>(rows->Data()) % alignof(Row) == 0;
+        return !rows || rows->size() == 0 || reinterpret_cast<std::uintptr_t>(rows->Data()) % alignof(Row) == 0;
     }
 
     std::optional<peer_message> unpack(const frames::slot_report& body, time_point)
--- a/tests/unit/peer_codec.tests.cpp
+++ b/tests/unit/peer_codec.tests.cpp
@@ -129,3 +129,13 @@
         "CAAAABwACAAIAAAAIAAAAAgAAAAIAAgvFAAAAAAACAAIAAAACAAKAAEAAAAAAAAA////////////C///////AAA=", &bytes));
     CHECK_FALSE(decodeFrame(bytes, time_point {}).ok());
 }
+
+TEST_CASE("A heartbeat without rows is read, however long its names are [peer_codec]")
+{
+    for (std::size_t length = 0; length < 40; ++length) {
+        const fleet_heartbeat heartbeat { .from = { std::string(length, 'r') },
+            .address = std::string(length / 3, '1') };
+        const auto decoded = roundTrip(heartbeat);
+        CHECK(std::get<fleet_heartbeat>(decoded).from == heartbeat.from);
+    }
+}
