--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -80,6 +80,10 @@
                   "tenants": [{"name": name, "api_keys": keys} for name, keys in self.keys.items()]}
         self.store("put", json.dumps(config).encode(), key="op/config")
 
+    def store_port_of(self, _router):
+        """Port at which a router reaches the store; a case may put a proxy there."""
+        return self.store_port
+
     def settings_of(self, router):
         seeds = ", ".join(f'"{other.address}:8785"' for other in self.routers[:3])
         return f"""node_name = "{router.name}"
@@ -117,7 +121,7 @@
 budget_window_s = 10
 budget_slack = 58
 [platform]
-address = "127.0.0.1:{self.store_port}"
+address = "127.0.0.1:{self.store_port_of(router)}"
 form = "read"
 reads_per_s = 2000
 """
