--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -59,8 +59,8 @@
         for router in self.routers:
             self.wait_ready(router)
 
-    def publish_routes(self):
-        self.version += 3
+    def configuration(self):
+        """The configuration of the current version."""
 
         def route(name, kind, service, timeout_ms, target_ms, attempts, **more):
             return {"name": name, "host": HOST, "path_prefix": f"/{name}/", "kind": kind, "timeout_ms": timeout_ms,
@@ -73,11 +73,15 @@
                         stream_resumption=True),
                   route("spoke-order", "non_idempotent", "book", 1200, 150, 1),
                   route("build-lookup", "idempotent", "book", 1200, 150, 2)]
-        config = {"version": self.version, "routes": routes,
+        return {"version": self.version, "routes": routes,
                   "services": [{"name": "desk", "engine": {"slots": 48, "kv_cache_tokens": 444000}}, {"name": "book"}],
                   "limits": {"header_bytes": 16384, "body_bytes": 4194304, "header_timeout_ms": 3000,
                              "idle_timeout_ms": 15000, "tokens_per_s": 330000},
                   "tenants": [{"name": name, "api_keys": keys} for name, keys in self.keys.items()]}
+
+    def publish_routes(self):
+        self.version += 3
+        config = self.configuration()
         self.store("put", json.dumps(config).encode(), key="op/config")
 
     def store_port_of(self, _router):
