--- a/src/kumquatbeam/controllers/decision_event.hpp
+++ b/src/kumquatbeam/controllers/decision_event.hpp
@@ -180,6 +180,8 @@
 struct directory_observed {
     std::shared_ptr<const endpoint_directory> directory;
     time_point readStartedAt;
+    /// Set if reads have failed since the last one that succeeded: the outage did not end before this time.
+    std::optional<time_point> outageEndedAfter {};
 };
 
 /// The source of routes and endpoints has become unreadable.
--- a/src/kumquatbeam/controllers/directory_controller.cpp
+++ b/src/kumquatbeam/controllers/directory_controller.cpp
@@ -6,6 +6,15 @@
 
 namespace kumquatbeam {
 
+namespace {
+
+    std::string millisecondsText(clock::duration duration)
+    {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    }
+
+} // namespace
+
 directory_controller::directory_controller(const route_bounds& bounds)
     : m_bounds(bounds)
 {
@@ -101,10 +110,9 @@
     if (m_lastRead != never && observed.readStartedAt > m_lastRead + longestGap) {
         m_keepMissingUntil = context.now + m_bounds.reannounceGracePeriod;
         context.log.changed({ name(), "regained",
-            "after-ms="
-                + std::to_string(
-                    std::chrono::duration_cast<std::chrono::milliseconds>(observed.readStartedAt - m_lastRead)
-                        .count()) });
+            "after-ms=" + millisecondsText(observed.readStartedAt - m_lastRead) + " outage-ended-within-ms="
+                + millisecondsText(observed.readStartedAt - observed.outageEndedAfter.value_or(observed.readStartedAt))
+                + " keep-missing-ms=" + millisecondsText(m_keepMissingUntil - context.now) });
     }
     m_lastRead = observed.readStartedAt;
     std::erase_if(m_leaving, [&](const auto& entry) { return entry.second.forgetAt <= context.now; });
@@ -149,6 +157,9 @@
             return false;
         if (mayHaveExpired) {
             m_missing.emplace(id, m_keepMissingUntil);
+            context.log.changed({ name(), "missing",
+                id.value + " keep-ms=" + millisecondsText(m_keepMissingUntil - context.now)
+                    + " because=may-have-expired" });
             return false;
         }
         context.log.changed({ name(), "gone", id.value + " because=removed" });
