Count the grace period for missing endpoints from the end of the outage

Cause: the 2.2 s for which missing endpoints are kept after an outage counted from the first good read, which came up to 0.95 s after the cut had healed (0.7 s timeout of the lost read, 0.25 s pause). Ruled out: a grace period that is restarted (one `regained` for each cut), and calls with an older choice (no placement at 70 endpoints after their `gone`).

Now the time counts from the latest possible end of the outage, and ends 0.2 s before the stability window after the earliest possible one. On related paths: an attempt that still connects to an endpoint that drains or is gone is withdrawn.

Tests, red before: directory_controller.tests (7 checks: b1 still used; draining endpoint still allowed), store_reader.tests (the read after the return 0.95 s late; reads 0.91 s apart). The other side, an announcement that comes back after two seconds, was green before and stays so.

--- a/src/kumquatbeam/controllers/command.hpp
+++ b/src/kumquatbeam/controllers/command.hpp
@@ -123,7 +123,8 @@
     std::vector<endpoint_address> endpoints;
 };
 
-/// Replaces the endpoints that may be connected to; kept connections to all others are closed.
+/// Replaces the endpoints that calls may be sent to; kept connections to all others are closed, and attempts of which
+/// no byte was sent are withdrawn.
 struct set_allowed_endpoints {
     std::vector<endpoint_address> endpoints;
 };
--- a/src/kumquatbeam/controllers/directory_controller.cpp
+++ b/src/kumquatbeam/controllers/directory_controller.cpp
@@ -108,7 +108,7 @@
     const auto longestGap
         = std::chrono::duration_cast<clock::duration>(m_bounds.changePropagationLimit * outageFraction);
     if (m_lastRead != never && observed.readStartedAt > m_lastRead + longestGap) {
-        m_keepMissingUntil = context.now + m_bounds.reannounceGracePeriod;
+        m_keepMissingUntil = keepMissingUntil(observed);
         context.log.changed({ name(), "regained",
             "after-ms=" + millisecondsText(observed.readStartedAt - m_lastRead) + " outage-ended-within-ms="
                 + millisecondsText(observed.readStartedAt - observed.outageEndedAfter.value_or(observed.readStartedAt))
@@ -122,6 +122,17 @@
         publishChange(context);
 }
 
+time_point directory_controller::keepMissingUntil(const directory_observed& observed) const
+{
+    // The outage ended between the last failed read and this one. An announcement is back within the grace period of
+    // the end, so it is waited for from the latest possible end on; but what left must not be used once the directory
+    // has been back for the stability window, so that counts from the earliest possible end.
+    const auto latestEnd = observed.readStartedAt;
+    const auto earliestEnd = observed.outageEndedAfter.value_or(latestEnd);
+    return std::min(
+        latestEnd + m_bounds.reannounceGracePeriod, earliestEnd + m_bounds.outageStabilityWindow - withdrawalMargin);
+}
+
 bool directory_controller::applyAnnouncements(const endpoint_directory& directory, decision_context& context)
 {
     bool hasChanged = false;
@@ -170,8 +181,10 @@
 void directory_controller::publishChange(decision_context& context)
 {
     set_allowed_endpoints kept;
-    for (const auto& [id, endpoint] : m_endpoints)
-        kept.endpoints.push_back({ id, endpoint.address, endpoint.port, endpoint.incarnation });
+    for (const auto& [id, endpoint] : m_endpoints) {
+        if (!endpoint.isDraining)
+            kept.endpoints.push_back({ id, endpoint.address, endpoint.port, endpoint.incarnation });
+    }
     context.commands.send(endpoint_command { std::move(kept) });
     context.raised.emplace_back(directory_changed {});
 }
--- a/src/kumquatbeam/controllers/directory_controller.hpp
+++ b/src/kumquatbeam/controllers/directory_controller.hpp
@@ -16,7 +16,8 @@
 ///
 /// Draining is final for one incarnation of an endpoint, whichever announcement is read later. It is learned from the
 /// announcements, from what the endpoint says in its answers, and from other routers. Announcements expire while their
-/// writers cannot reach the directory, so an endpoint missing after an outage is kept for a grace period.
+/// writers cannot reach the directory, so an endpoint missing after an outage is kept for a grace period that counts
+/// from the end of the outage.
 class directory_controller final : public controller {
 public:
     /// Longest gap between two reads that does not count as an outage, as a fraction of the change propagation limit.
@@ -28,6 +29,9 @@
     /// than an endpoint takes to leave, even if its announcement is missing in between.
     static constexpr std::chrono::minutes leavingRetention { 10 };
 
+    /// Time from the decision to drop an endpoint until the last call decided before has been sent or withdrawn.
+    static constexpr std::chrono::milliseconds withdrawalMargin { 200 };
+
     explicit directory_controller(const route_bounds&);
 
     std::string_view name() const override { return "directory"; }
@@ -55,6 +59,7 @@
     void receiveLeaving(const fleet_heartbeat&, decision_context&);
     void recordLeaving(const endpoint_id&, std::int64_t incarnation, std::string_view source, decision_context&);
     bool isLeaving(const endpoint_id&, std::int64_t incarnation) const;
+    time_point keepMissingUntil(const directory_observed&) const;
     bool applyAnnouncements(const endpoint_directory&, decision_context&);
     bool dropMissing(const endpoint_directory&, time_point readStartedAt, decision_context&);
     void publishChange(decision_context&);
--- a/src/kumquatbeam/duties/endpoints_duty.cpp
+++ b/src/kumquatbeam/duties/endpoints_duty.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace kumquatbeam {
@@ -97,7 +98,7 @@
             withSession(consumed.id, [](endpoint_session& session) { session.onChunkConsumed(); });
         },
         [&](probe_endpoints&& watched) { updateProbes(watched); },
-        [&](set_allowed_endpoints&& kept) { m_connections.keepOnly(kept.endpoints); },
+        [&](set_allowed_endpoints&& kept) { allowOnly(kept.endpoints); },
     };
     std::visit(handlers, std::move(command));
 }
@@ -110,6 +111,19 @@
     session->start();
 }
 
+void endpoints_duty::allowOnly(const std::vector<endpoint_address>& endpoints)
+{
+    m_connections.keepOnly(endpoints);
+    std::vector<std::shared_ptr<endpoint_session>> withdrawn;
+    for (const auto& [id, session] : m_attempts) {
+        if (session->isUnsent()
+            && std::find(endpoints.begin(), endpoints.end(), session->endpoint()) == endpoints.end())
+            withdrawn.push_back(session);
+    }
+    for (const auto& session : withdrawn)
+        session->withdraw();
+}
+
 void endpoints_duty::updateProbes(const probe_endpoints& watched)
 {
     std::map<endpoint_id, std::shared_ptr<load_probe>> probes;
--- a/src/kumquatbeam/duties/endpoints_duty.hpp
+++ b/src/kumquatbeam/duties/endpoints_duty.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 namespace kumquatbeam {
 
@@ -40,6 +41,7 @@
 
     void handle(endpoint_command);
     void startAttempt(start_attempt);
+    void allowOnly(const std::vector<endpoint_address>&);
     void updateProbes(const probe_endpoints&);
     void sweepConnections();
 
--- a/src/kumquatbeam/sessions/endpoint_session.cpp
+++ b/src/kumquatbeam/sessions/endpoint_session.cpp
@@ -58,6 +58,16 @@
     finishFailed(failure_kind::CallerGone);
 }
 
+void endpoint_session::giveUpAnswer()
+{
+    finishFailed(failure_kind::AnswerTooLarge);
+}
+
+void endpoint_session::withdraw()
+{
+    finishFailed(failure_kind::NoEndpoint);
+}
+
 void endpoint_session::onChunkConsumed()
 {
     if (!hasEnded() && std::exchange(m_isChunkUnacknowledged, false))
--- a/src/kumquatbeam/sessions/endpoint_session.hpp
+++ b/src/kumquatbeam/sessions/endpoint_session.hpp
@@ -58,6 +58,17 @@
     /// Cancels the attempt and closes its connection, which informs the endpoint.
     void cancel();
 
+    /// Ends the attempt, since the router cannot hold its answer.
+    void giveUpAnswer();
+
+    /// Whether no byte of the attempt was sent.
+    bool isUnsent() const { return !m_hasSent; }
+
+    /// Ends an unsent attempt, since its endpoint takes no more calls.
+    void withdraw();
+
+    const endpoint_address& endpoint() const { return m_attempt.to; }
+
     /// Continues reading after the caller session has written the last chunk.
     void onChunkConsumed();
 
--- a/src/kumquatbeam/settings/route_bounds.hpp
+++ b/src/kumquatbeam/settings/route_bounds.hpp
@@ -16,6 +16,8 @@
     /// Time after an outage of the directory for which an endpoint is kept although its announcement expired during the
     /// outage.
     std::chrono::milliseconds reannounceGracePeriod { 2200 };
+    /// Time after the end of an outage from which the directory's word must be in force again.
+    std::chrono::milliseconds outageStabilityWindow { 3000 };
     /// @{ Retry budget of the whole fleet for a pool: a ratio of the pool's requests plus a fixed allowance, in each
     /// window.
     double retryRatio = 0.2;
--- a/tests/unit/directory_controller.tests.cpp
+++ b/tests/unit/directory_controller.tests.cpp
@@ -3,6 +3,7 @@
 #include "kumquatbeam/types/wire_key.hpp"
 
 using namespace kumquatbeam;
+using namespace std::chrono_literals;
 
 TEST_CASE_FIXTURE(
     routing_fixture, "A draining endpoint gets no more calls, even if an older announcement is read later [routing]")
@@ -39,6 +40,56 @@
     CHECK(replyTo(sendRequest("/lookup/1"))->problem->kind == failure_kind::NoEndpoint);
 }
 
+// DRAIN: an endpoint that left just after a cut had healed was used for the whole grace period, counted from a late
+// read.
+TEST_CASE_FIXTURE(routing_fixture,
+    "An endpoint that left just after an outage gets no call once the outage is over for the stability window "
+    "[routing]")
+{
+    for (const auto sinceLostRead : { 950ms, 800ms }) {
+        routing_fixture fixture;
+        fixture.publish(table(1));
+        fixture.announce({ endpoint("b1", "book"), endpoint("b2", "book") });
+        fixture.pass(4s);
+        // The outage may have ended as early as this, right after the last lost read was sent.
+        const auto outageEnd = fixture.now - sinceLostRead;
+        fixture.publish(table(1));
+        fixture.announce({ endpoint("b2", "book") }, outageEnd);
+        fixture.pass(std::chrono::duration_cast<std::chrono::milliseconds>(
+            outageEnd + bounds().outageStabilityWindow - 150ms - fixture.now));
+        for (int i = 0; i < 6; ++i) {
+            fixture.sendRequest("/lookup/1");
+            CHECK(fixture.lastAttempt()->to.endpoint.value == "b2");
+        }
+    }
+}
+
+// The other side of it: an endpoint that lives is not forgotten while its announcement may still come back.
+TEST_CASE_FIXTURE(
+    routing_fixture, "An endpoint whose announcement comes back two seconds after an outage is never lost [routing]")
+{
+    publish(table(1));
+    announce({ endpoint("b1", "book") });
+    pass(4s);
+    const auto firstRead = now;
+    for (; now < firstRead + 2000ms; pass(250ms)) {
+        publish(table(1));
+        if (now == firstRead)
+            announce({}, now - 700ms);
+        else
+            announce({});
+        sendRequest("/lookup/1");
+        CHECK(lastAttempt()->to.endpoint.value == "b1");
+    }
+    for (int read = 0; read < 2; ++read) {
+        publish(table(1));
+        announce({ endpoint("b1", "book") });
+        sendRequest("/lookup/1");
+        pass(1s);
+    }
+    CHECK(attempts() == 10);
+}
+
 TEST_CASE_FIXTURE(routing_fixture, "An endpoint that is missing without an outage is removed immediately [routing]")
 {
     publishAll();
@@ -110,3 +161,15 @@
     handle(peer_received { { "r2" }, heard });
     CHECK(replyTo(sendRequest("/lookup/1"))->problem->kind == failure_kind::NoEndpoint);
 }
+
+// DRAIN: an attempt that was still connecting reached an endpoint after the router had learnt that it leaves.
+TEST_CASE_FIXTURE(routing_fixture, "An endpoint that drains is no longer one that calls may be sent to [routing]")
+{
+    publish(table(1));
+    auto leaving = endpoint("b1", "book");
+    leaving.isDraining = true;
+    announce({ leaving, endpoint("b2", "book") });
+    const auto allowed = commands.all<set_allowed_endpoints>().back().endpoints;
+    REQUIRE(allowed.size() == 1);
+    CHECK(allowed.front().endpoint.value == "b2");
+}
--- a/tests/unit/routing_fixture.hpp
+++ b/tests/unit/routing_fixture.hpp
@@ -78,12 +78,14 @@
 
     void publish(std::shared_ptr<const route_table> routes) { handle(routes_observed { std::move(routes), now }); }
 
-    void announce(const std::vector<announced_endpoint>& endpoints)
+    void announce(
+        const std::vector<announced_endpoint>& endpoints, std::optional<time_point> outageEndedAfter = std::nullopt)
     {
         endpoint_directory directory;
         for (const auto& announced : endpoints)
             directory.endpoints.emplace(announced.id, announced);
-        handle(directory_observed { std::make_shared<const endpoint_directory>(std::move(directory)), now });
+        handle(directory_observed {
+            std::make_shared<const endpoint_directory>(std::move(directory)), now, outageEndedAfter });
     }
 
     void publishAll()
--- a/tests/unit/sessions/scripted_server.hpp
+++ b/tests/unit/sessions/scripted_server.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -45,9 +46,28 @@
         accept();
     }
 
+    /// Follows another script on connections that are accepted from now on.
+    void setScript(server_script script) { m_script = std::make_shared<server_script>(std::move(script)); }
+
+    /// Sends these bytes instead of the opening for the next request on a connection accepted so far.
+    void sendOnNextRequest(std::string bytes)
+    {
+        for (const auto& accepted : m_connections)
+            accepted->sendOnNextRequest(bytes);
+    }
+
+    /// Leaves what arrives on the connections accepted so far unanswered.
+    void silence()
+    {
+        for (const auto& accepted : m_connections)
+            accepted->silence();
+    }
+
     std::int64_t port() const { return m_acceptor.local_endpoint().port(); }
     std::size_t connections() const { return m_counts->connections; }
     std::size_t closedConnections() const { return m_counts->closed; }
+    /// Connections that the other side has reset.
+    std::size_t resets() const { return m_counts->resets; }
     std::size_t requests() const { return m_counts->requests; }
     std::size_t sentBytes() const { return m_counts->sentBytes; }
 
@@ -55,6 +75,7 @@
     struct counts {
         std::size_t connections = 0;
         std::size_t closed = 0;
+        std::size_t resets = 0;
         std::size_t requests = 0;
         std::size_t sentBytes = 0;
     };
@@ -78,19 +99,24 @@
                 read();
         }
 
+        void silence() { m_isSilent = true; }
+
+        void sendOnNextRequest(std::string bytes) { m_nextOpening = std::move(bytes); }
+
     private:
         void read()
         {
             m_socket.async_read_some(
                 boost::asio::buffer(m_input), [self = shared_from_this()](auto error, std::size_t size) {
                     if (error) {
+                        self->m_counts->resets += error == boost::asio::error::connection_reset ? 1 : 0;
                         self->close();
                         return;
                     }
                     const std::string_view bytes(self->m_input.data(), size);
                     const bool endsRequest = bytes.find("\r\n\r\n") != std::string_view::npos;
                     self->m_counts->requests += endsRequest ? 1 : 0;
-                    if (endsRequest && !self->m_script->speaksFirst)
+                    if (endsRequest && !self->m_script->speaksFirst && !self->m_isSilent)
                         self->open();
                     self->read();
                 });
@@ -98,6 +124,10 @@
 
         void open()
         {
+            if (m_nextOpening) {
+                send(*m_nextOpening, [] {});
+                return;
+            }
             send(m_script->opening, [this] {
                 if (m_script->resets) {
                     boost::system::error_code ignored;
@@ -157,6 +187,8 @@
         std::shared_ptr<counts> m_counts;
         std::array<char, 64 * 1024> m_input {};
         bool m_isClosed = false;
+        bool m_isSilent = false;
+        std::optional<std::string> m_nextOpening;
     };
 
     void accept()
--- a/tests/unit/sessions/store_reader.tests.cpp
+++ b/tests/unit/sessions/store_reader.tests.cpp
@@ -116,3 +116,45 @@
         CHECK(fixture.all<directory_observed>().empty());
     }
 }
+
+// DRAIN: after a cut, the first sound read came up to 0.95 s late.
+TEST_CASE("A store that is back is read within the time of one page, and the read says when it was away [store_reader]")
+{
+    const auto page = response(R"({"items":[)" + item("servers/a", goodEntry) + R"(],"truncated":false})");
+    store_fixture fixture({ .opening = page });
+    REQUIRE(fixture.awaits<directory_observed>(1, 2s));
+    CHECK_FALSE(fixture.all<directory_observed>().front().outageEndedAfter);
+    fixture.server.setScript({ .opening = "" });
+    fixture.server.silence();
+    REQUIRE(fixture.awaits<source_lost>(1, 3s));
+    const auto connections = fixture.server.connections();
+    REQUIRE(runUntil(
+        fixture.context, [&] { return fixture.server.connections() >= connections + 2; }, 3s));
+    const auto returned = clock::now();
+    fixture.server.setScript({ .opening = page });
+    REQUIRE(fixture.awaits<directory_observed>(2, 3s));
+    const auto read = fixture.all<directory_observed>().back();
+    REQUIRE(read.outageEndedAfter);
+    CHECK(*read.outageEndedAfter <= returned);
+    CHECK(*read.outageEndedAfter >= returned - 100ms);
+    CHECK(read.readStartedAt <= returned + 800ms);
+    CHECK(read.readStartedAt >= returned);
+}
+
+// Lost service: an announcement that came back was read up to 0.9 s late, after the endpoint had been forgotten.
+TEST_CASE("After an outage the store is read more often until missing announcements are back [store_reader]")
+{
+    const auto page = response(R"({"items":[],"truncated":false})");
+    store_fixture fixture({ .opening = "" });
+    REQUIRE(fixture.awaits<source_lost>(1, 3s));
+    fixture.server.setScript({ .opening = page });
+    REQUIRE(fixture.awaits<directory_observed>(1, 3s));
+    const auto first = fixture.all<directory_observed>().front().readStartedAt;
+    REQUIRE(fixture.awaits<directory_observed>(7, 6s));
+    const auto reads = fixture.all<directory_observed>();
+    for (std::size_t i = 1; i < reads.size(); ++i) {
+        if (reads[i].readStartedAt < first + fixture.bounds.reannounceGracePeriod)
+            CHECK(reads[i].readStartedAt - reads[i - 1].readStartedAt < 500ms);
+    }
+    CHECK(reads.back().readStartedAt > first + fixture.bounds.reannounceGracePeriod);
+}
