Bound what all incomplete answers hold together

Reported by other operators: a worker sent bytes without end, and the machine that had called it ran out of memory.

Beyond the limit, the answer that holds the most is given up, so that the small ones beside it are served.

--- a/src/kumquatbeam/duties/endpoints_duty.cpp
+++ b/src/kumquatbeam/duties/endpoints_duty.cpp
@@ -50,6 +50,20 @@
     static_cast<void>(m_links.decisions->tryPost(std::move(noticed)));
 }
 
+void endpoints_duty::recordHeldBytes(request_id id, byte_count held)
+{
+    if (held.value == 0) {
+        m_answerMemory.release(id);
+        return;
+    }
+    const auto largest = m_answerMemory.record(id, held);
+    const auto found = largest ? m_attempts.find(*largest) : m_attempts.end();
+    if (found == m_attempts.end())
+        return;
+    const auto session = found->second;
+    session->giveUpAnswer();
+}
+
 std::shared_ptr<endpoint_connection> endpoints_duty::takeConnection(const start_attempt& attempt)
 {
     return m_connections.take(attempt.to, attempt.needsFreshConnection, clock::now());
--- a/src/kumquatbeam/duties/endpoints_duty.hpp
+++ b/src/kumquatbeam/duties/endpoints_duty.hpp
@@ -4,6 +4,7 @@
 #include "kumquatbeam/duties/duty_links.hpp"
 #include "kumquatbeam/runtime/deadline_timer.hpp"
 #include "kumquatbeam/runtime/duty.hpp"
+#include "kumquatbeam/sessions/answer_memory.hpp"
 #include "kumquatbeam/sessions/connection_pool.hpp"
 #include "kumquatbeam/sessions/endpoint_session.hpp"
 #include "kumquatbeam/sessions/load_probe.hpp"
@@ -36,6 +37,7 @@
     std::string streamIdOf(request_id) const override;
     std::uint64_t bodyLimit() const override { return static_cast<std::uint64_t>(m_settings.bodyLimit); }
     const std::string& sourceAddress() const override { return m_settings.sourceAddress; }
+    void recordHeldBytes(request_id, byte_count) override;
     std::shared_ptr<endpoint_connection> takeConnection(const start_attempt&) override;
     void keepConnection(std::shared_ptr<endpoint_connection>, const keep_alive_policy&) override;
 
@@ -53,6 +55,7 @@
     std::unordered_map<request_id, std::shared_ptr<endpoint_session>> m_attempts;
     std::map<endpoint_id, std::shared_ptr<load_probe>> m_probes;
     connection_pool m_connections;
+    answer_memory m_answerMemory;
     deadline_timer m_sweepTimer;
     bool m_isSweeping = false;
 };
--- a/src/kumquatbeam/sessions/endpoint_session.cpp
+++ b/src/kumquatbeam/sessions/endpoint_session.cpp
@@ -308,9 +308,10 @@
     switch (m_delivery) {
     case answer_delivery::Buffered:
         m_bufferedBody.append(bytes);
+        recordHeldBytes();
         if (m_bufferedBody.size() > m_delegate.bodyLimit())
-            finishFailed(failure_kind::AnswerTooLarge);
-        else
+            giveUpAnswer();
+        else if (!hasEnded())
             continueReading();
         break;
     case answer_delivery::Chunks:
@@ -326,14 +327,24 @@
 {
     m_events.append(bytes);
     auto completeEvents = m_events.takeCompleteEvents();
+    recordHeldBytes();
+    if (hasEnded())
+        return;
     if (m_events.partialEventSize() > eventSizeLimit)
-        finishFailed(failure_kind::AnswerTooLarge);
+        giveUpAnswer();
     else if (completeEvents.empty())
         continueReading();
     else
         relayChunk(std::move(completeEvents));
 }
 
+void endpoint_session::recordHeldBytes()
+{
+    const byte_count held { m_bufferedBody.heldBytes() + m_events.partialEventSize() };
+    if (held != std::exchange(m_heldBytes, held))
+        m_delegate.recordHeldBytes(m_attempt.id, held);
+}
+
 void endpoint_session::relayChunk(std::string bytes)
 {
     relayHead();
@@ -385,7 +396,9 @@
             ended.fields = m_delegate.dialect().forwardedFields(head);
     }
     if (outcome == attempt_outcome::Completed)
-        ended.body = std::move(m_bufferedBody);
+        ended.body = m_bufferedBody.take();
+    if (m_heldBytes.value > 0)
+        m_delegate.recordHeldBytes(m_attempt.id, {});
     m_delegate.finish(std::move(ended));
 }
 
--- a/src/kumquatbeam/sessions/endpoint_session.hpp
+++ b/src/kumquatbeam/sessions/endpoint_session.hpp
@@ -5,6 +5,7 @@
 #include "kumquatbeam/controllers/command.hpp"
 #include "kumquatbeam/controllers/decision_event.hpp"
 #include "kumquatbeam/runtime/deadline_timer.hpp"
+#include "kumquatbeam/sessions/block_buffer.hpp"
 #include "kumquatbeam/sessions/endpoint_connection.hpp"
 
 #include <boost/beast/http/buffer_body.hpp>
@@ -35,6 +36,10 @@
     virtual std::uint64_t bodyLimit() const = 0;
     virtual const std::string& sourceAddress() const = 0;
 
+    /// Records how much of the answer to a call is held; zero when nothing of it is held any more. May give up this
+    /// attempt or another one.
+    virtual void recordHeldBytes(request_id, byte_count) = 0;
+
     /// Takes a pooled connection to the attempt's endpoint, or null.
     virtual std::shared_ptr<endpoint_connection> takeConnection(const start_attempt&) = 0;
 
@@ -117,6 +122,7 @@
     void readChunk();
     void onChunk(boost::beast::error_code);
     void discard(std::size_t size);
+    void recordHeldBytes();
     void handleChunk(std::string_view bytes);
     void handleEvents(std::string_view bytes);
     void relayChunk(std::string bytes);
@@ -143,7 +149,9 @@
     std::optional<answer_parser> m_parser;
     event_framer m_events;
     std::array<char, chunkSize> m_chunk;
-    std::string m_bufferedBody;
+    block_buffer m_bufferedBody;
+    /// What the delegate knows to be held of the answer.
+    byte_count m_heldBytes;
     byte_count m_relayedBytes;
     time_point m_startedAt;
     int m_skippedAnswers = 0;
--- a/src/kumquatbeam/settings/router_settings.cpp
+++ b/src/kumquatbeam/settings/router_settings.cpp
@@ -36,6 +36,8 @@
             { "request-limit", "requests", { 1, 1'000'000 }, false, "concurrent requests in the router" }),
         settingRow<&router_settings::bodyLimit>(
             { "body-limit", "bytes", { 1, 1'073'741'824 }, false, "largest request body, and largest stored reply" }),
+        settingRow<&router_settings::answerMemoryLimit>({ "answer-memory", "bytes", { 1'048'576, 1'099'511'627'776 },
+            false, "memory for incomplete answers of endpoints, over all calls" }),
         settingRow<&router_settings::drainNotice>(
             { "drain-notice-ms", "ms", { 0, 600'000 }, false, "time for the load balancer to notice a shutdown" }),
         settingRow<&router_settings::drainLimit>(
--- a/src/kumquatbeam/settings/router_settings.hpp
+++ b/src/kumquatbeam/settings/router_settings.hpp
@@ -43,6 +43,8 @@
     std::string strategy = "leased-quotas";
     std::int64_t requestLimit = 4000;
     std::int64_t bodyLimit = 1'048'576;
+    /// Bytes that the incomplete answers of endpoints may hold together.
+    std::int64_t answerMemoryLimit = 67'108'864;
     /// Maximum number of open caller connections; further callers wait in the system's listen backlog.
     std::int64_t callerLimit = 20'000;
     /// Time for the load balancer to notice that the router is no longer ready.
--- a/tests/scenarios/reported_failures.py
+++ b/tests/scenarios/reported_failures.py
@@ -16,6 +16,12 @@
 # buffered up to 4 MiB each, and what the allocator keeps.
 MEMORY_GROWTH_LIMIT_KIB = 32 * 1024
 
+# Answers without end that arrive at the same time: together, they are larger than the memory of the process.
+HOARDED_ANSWERS = 120
+
+# Memory for answers that are still incomplete: a quarter of the process's memory.
+ANSWER_MEMORY_KIB = platform_fleet.MEMORY_LIMIT_MB * 1024 // 4
+
 # Time within which an answer without end is given up, from the stated limits: it fills a buffer within a moment, and the rest
 # of a refusal or of another call's answer is read for half a second at most.
 ENDLESS_LIMIT_SECONDS = 3
@@ -107,6 +113,55 @@
     checks.at_most("memory gained in KiB", memory_of(router) - before, MEMORY_GROWTH_LIMIT_KIB)
 
 
+def reset_peak_memory(router):
+    with open(f"/proc/{router.process.pid}/clear_refs", "w", encoding="ascii") as references:
+        references.write("5")
+
+
+def peak_memory_of(router):
+    """Largest resident memory of the router's process since the last reset, in KiB."""
+    with open(f"/proc/{router.process.pid}/status", encoding="ascii") as status:
+        return next(int(line.split()[1]) for line in status if line.startswith("VmHWM:"))
+
+
+def check_hoarded_answers(checks, running, router):
+    """A worker sent bodies without end; the machine kept them all and ran out of memory, and with it other clients' requests."""
+    for name in ("plain0", "plain1"):
+        running.announce(name, slots=200)
+    time.sleep(1.5)
+    before = memory_of(router)
+    reset_peak_memory(router)
+    calls = [in_background(lambda number=number: Caller(router).call(
+        f"hoard{number}", "/order/1", X_Fault="endless-body", deadline_ms=5000)) for number in range(HOARDED_ANSWERS)]
+    time.sleep(1.5)
+    others = [Caller(router).call(f"beside-hoard{number}", "/order/1")[0] for number in range(20)]
+    gained = peak_memory_of(router) - before
+    statuses = {call()[0] for call in calls}
+    checks.true("answers without end are no success", statuses <= {502, 504}, statuses)
+    checks.equal("other callers are served meanwhile", others, [200] * len(others))
+    checks.at_most("memory gained at its peak in KiB", gained, ANSWER_MEMORY_KIB + MEMORY_GROWTH_LIMIT_KIB)
+    check_serving(checks, running, router, "hoarded-answers")
+    for name in ("plain0", "plain1"):
+        running.announce(name)
+    time.sleep(1.5)
+
+
+def check_unnamed_bytes(checks, running, router):
+    """A worker wrote an earlier refusal once more on a kept connection, and the request behind it was told that it had not run."""
+    running.withdraw("plain1")
+    time.sleep(2)
+    for number in range(4):
+        for fault in ("refusal-late", "failure-late", "refusal-again"):
+            Caller(router).call(f"{fault}{number}", "/order/first", X_Fault=fault)
+            # Longer than the delay of the additional bytes, so that they arrive where this order's answer is due.
+            status, _, body = Caller(router).call(f"behind-{fault}{number}", "/order/second", X_Pause_Ms=150)
+            runs = len(running.workers_that_ran(f"behind-{fault}{number}"))
+            checks.true(f"an order behind {fault} gets its own answer ({number})",
+                        (status, runs) == (200, 1) and b"/order/second" in body, (status, runs, body))
+    running.announce("plain1", born=2)
+    time.sleep(1.5)
+
+
 def check_malformed_messages(checks, running, router):
     """One malformed message or unexpected error took a whole process down."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
@@ -220,6 +275,8 @@
         check_silent_worker(checks, running, router)
         check_half_answers(checks, running, router)
         check_endless_answers(checks, running, router)
+        check_hoarded_answers(checks, running, router)
+        check_unnamed_bytes(checks, running, router)
         check_malformed_messages(checks, running, router)
         check_odd_entries(checks, running, router)
         check_leaving_workers(checks, running, router, other)
--- a/tests/standins/platform_worker.py
+++ b/tests/standins/platform_worker.py
@@ -9,6 +9,8 @@
 connection is reset midway), inside (the stream is reset inside an event), mute (no answer), unsealed (a success without a
 Response-Seal), copy-late (a second copy of the answer follows 50 ms later), stall (a stream sends its first event, then a byte of
 the next one now and then), leaving (the answer says that the worker leaves), quiet (a refusal that asks for 2 s of quiet),
+refusal-late and failure-late (a 503 with Not-Executed, or a 400, that names no request follows 50 ms later), refusal-again (a
+refusal that names its request, and once more 50 ms later), endless-body (4 MB, then a byte now and then),
 endless-head, endless-extension, endless-refusal, large-trailer (bytes that end an answer never, or in a field that is too large).
 
 GET /control/seen returns, for the worker of the port, the requests that arrived, that ran and that the caller cancelled, and
@@ -28,6 +30,13 @@
 
 COPY_DELAY = 0.05
 STALL_PAUSE = 0.1
+ENDLESS_BODY_SIZE = 4_000_000
+
+# Bytes that name no request, sent some time after a whole answer.
+UNNAMED = {
+    "refusal-late": b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    "failure-late": b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n",
+}
 
 # Header fields of an answer that never ends as it should, and the bytes that are repeated after its head.
 KILOBYTE = b"x" * 1024
@@ -101,6 +110,13 @@
         if fault == "quiet":
             writer.write(self.complete_response(request_id, b"", 503, "Not-Executed: 1\r\nRetry-After: 2\r\n", sealed=False))
             return True
+        if fault == "refusal-again":
+            refusal = self.complete_response(request_id, b"", 503, "Not-Executed: 1\r\n", sealed=False)
+            writer.write(refusal)
+            self.send_later(writer, refusal)
+            return True
+        if fault == "endless-body":
+            return await self.send_body_endlessly(request_id, writer)
         if fault in ENDLESS:
             return await self.send_endlessly(request_id, fault, writer)
         self.record.runs.append(request_id)
@@ -147,6 +163,20 @@
         await writer.drain()
         return True
 
+    def send_later(self, writer, additional):
+        """Sends bytes while the next request on the connection may already run."""
+        asyncio.get_running_loop().call_later(
+            COPY_DELAY, lambda: None if writer.is_closing() else writer.write(additional))
+
+    async def send_body_endlessly(self, request_id, writer):
+        """Sends a body without a length until the other side closes."""
+        writer.write(self.response_head(request_id, extra="Connection: close\r\n\r\n").encode() + b"x" * ENDLESS_BODY_SIZE)
+        while not writer.is_closing():
+            await writer.drain()
+            await asyncio.sleep(STALL_PAUSE)
+            writer.write(b"x")
+        return False
+
     async def send_endlessly(self, request_id, fault, writer):
         """Sends the fault's bytes until the other side closes."""
         opening, repeated = ENDLESS[fault]
--- a/tests/unit/sessions/endpoint_session_fixture.hpp
+++ b/tests/unit/sessions/endpoint_session_fixture.hpp
@@ -6,6 +6,7 @@
 #include "kumquatbeam/sessions/endpoint_session.hpp"
 #include "platform/platform_endpoint_dialect.hpp"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,6 +24,11 @@
     std::string streamIdOf(request_id) const override { return "stream"; }
     std::uint64_t bodyLimit() const override { return 1024 * 1024; }
     const std::string& sourceAddress() const override { return m_source; }
+    void recordHeldBytes(request_id, byte_count held) override
+    {
+        heldBytes = held;
+        largestHeldBytes = std::max(largestHeldBytes, held);
+    }
     std::shared_ptr<endpoint_connection> takeConnection(const start_attempt& attempt) override
     {
         return pool.take(attempt.to, attempt.needsFreshConnection, clock::now());
@@ -35,6 +41,8 @@
     std::vector<caller_command> relayed;
     std::vector<attempt_ended> outcomes;
     std::vector<endpoint_noticed> notices;
+    byte_count heldBytes {};
+    byte_count largestHeldBytes {};
     connection_pool pool;
 
 private:
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -15,6 +15,9 @@
 # File descriptors that a router may use; 0.6 of them are available to callers.
 FILE_DESCRIPTOR_LIMIT = 1000
 
+# Memory that a router may use.
+MEMORY_LIMIT_MB = 400
+
 
 class Caller:
     """A caller with one connection to a router."""
@@ -128,6 +131,7 @@
 readiness = "{router.address}:{router.readiness_port}"
 [limits]
 file_descriptors = {FILE_DESCRIPTOR_LIMIT}
+memory_mb = {MEMORY_LIMIT_MB}
 [bounds]
 revocation_ms = 5000
 grace_period_s = 8
