Reset the connection of an attempt that is given up

The connection was closed, so the kernel went on sending what had been written. It is reset now, unless its answer is complete.

--- a/src/kumquatbeam/sessions/endpoint_session.cpp
+++ b/src/kumquatbeam/sessions/endpoint_session.cpp
@@ -416,6 +416,10 @@
         return;
     }
     beast::error_code ignored;
+    // Without a reset, the kernel goes on sending a request that a cut of the network holds up, and it arrives after it
+    // was given up.
+    if (!isComplete)
+        connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
     connection->socket.close(ignored);
 }
 
--- a/src/kumquatbeam/sessions/endpoint_session.hpp
+++ b/src/kumquatbeam/sessions/endpoint_session.hpp
@@ -60,7 +60,7 @@
 
     void start();
 
-    /// Cancels the attempt and closes its connection, which informs the endpoint.
+    /// Cancels the attempt and resets its connection, which informs the endpoint.
     void cancel();
 
     /// Ends the attempt, since the router cannot hold its answer.
@@ -129,7 +129,8 @@
     void finishCompleted();
     void finishFailed(failure_kind);
     void report(attempt_outcome, std::optional<failure>);
-    /// Puts the connection back into the pool if it can carry another call, else closes it. Ends the session.
+    /// Puts the connection back into the pool if it can carry another call, else closes it; resets it unless the answer
+    /// is complete. Ends the session.
     void releaseConnection(bool isComplete);
     bool hasEnded() const { return !m_connection; }
     failure_kind classifyError(boost::beast::error_code) const;
