Answer every request in progress before a planned stop ends

Reported by other operators: requests that came late in the grace were passed on and cut off at its end. It could happen here to requests in progress at the drain limit, whose connections closed without an answer, and to those taken in the notice that need longer than is left.

During a shutdown, a request whose like has lately taken longer than is left is refused as not run: its caller can try another router at once. Silence ends nothing sooner.

--- a/src/kumquatbeam/controllers/command.hpp
+++ b/src/kumquatbeam/controllers/command.hpp
@@ -57,6 +57,11 @@
 /// Closes idle caller connections, and reports once all replies are written and all connections are closed.
 struct close_caller_connections { };
 
+/// Ends all requests in progress with this reply; a caller who has part of an answer gets a truncated one.
+struct end_requests {
+    call_reply reply;
+};
+
 /// Replaces the limits for callers.
 struct set_caller_limits {
     caller_limits limits;
@@ -64,7 +69,7 @@
 
 /// Commands to the callers duty.
 using caller_command = std::variant<reply_to_caller, answer_head, answer_chunk, answer_end, set_ready,
-    set_caller_limits, begin_drain, stop_accepting, close_caller_connections>;
+    set_caller_limits, begin_drain, stop_accepting, end_requests, close_caller_connections>;
 
 /// Address of one incarnation of an endpoint.
 struct endpoint_address {
--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -38,7 +38,10 @@
 void dispatch_controller::handle(const decision_event& event, decision_context& context)
 {
     const event_handlers handlers {
-        [&](const routes_changed&) { refreshPools(); },
+        [&](const routes_changed&) {
+            refreshPools();
+            forgetIdleRoutes(context.now);
+        },
         [&](const directory_changed&) {
             refreshPools();
             for (auto& [id, pool] : m_pools)
@@ -101,6 +104,12 @@
     return pool != m_pools.end() && pool->second.hasUsableEndpoint(now);
 }
 
+std::chrono::milliseconds dispatch_controller::longestLately(const route_id& route, time_point now) const
+{
+    const auto found = m_durations.find(route);
+    return found == m_durations.end() ? std::chrono::milliseconds(0) : found->second.value(now);
+}
+
 void dispatch_controller::refreshPools()
 {
     const auto& table = m_routes.current();
@@ -114,6 +123,11 @@
     }
 }
 
+void dispatch_controller::forgetIdleRoutes(time_point now)
+{
+    std::erase_if(m_durations, [&](const auto& entry) { return entry.second.value(now).count() == 0; });
+}
+
 void dispatch_controller::recordNotice(const endpoint_noticed& noticed, decision_context& context)
 {
     if (noticed.problem)
@@ -317,6 +331,7 @@
 void dispatch_controller::answer(running_call call, const attempt_ended& ended, decision_context& context)
 {
     logOutcome(call, ended, reply_kind::Answered, failure_kind::None, context);
+    m_durations[call.context.matched->route->id].record(since(call.arrivedAt, context.now), context.now);
     std::optional<call_reply> reply;
     if (!ended.isRelayed)
         reply = call_reply { .kind = reply_kind::Answered,
--- a/src/kumquatbeam/controllers/dispatch_controller.hpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.hpp
@@ -6,6 +6,7 @@
 #include "kumquatbeam/controllers/fleet_controller.hpp"
 #include "kumquatbeam/controllers/route_controller.hpp"
 #include "kumquatbeam/decisions/attempt_policy.hpp"
+#include "kumquatbeam/decisions/longest_duration.hpp"
 #include "kumquatbeam/settings/route_bounds.hpp"
 
 #include <map>
@@ -34,6 +35,9 @@
     /// When the first endpoint may be used again, if all usable endpoints of the pool have asked for quiet.
     std::optional<time_point> quietUntil(const pool_id&, time_point now) const;
 
+    /// How long the longest recent call of a route took until its whole answer; zero if none was answered lately.
+    std::chrono::milliseconds longestLately(const route_id&, time_point now) const;
+
     /// Whether the pool has any usable endpoint, whatever its load.
     bool hasUsableEndpoint(const pool_id&, time_point now) const;
 
@@ -61,6 +65,8 @@
     };
 
     void refreshPools();
+    /// Bounds the memory for durations as routes come and go.
+    void forgetIdleRoutes(time_point now);
     void recordNotice(const endpoint_noticed&, decision_context&);
     call_reply notRunReply(const running_call&, failure, time_point now) const;
     void admit(const request_context&, decision_context&);
@@ -87,6 +93,7 @@
     const fleet_controller& m_fleet;
     std::map<pool_id, dispatch_pool> m_pools;
     std::unordered_map<request_id, running_call> m_running;
+    std::map<route_id, longest_duration> m_durations;
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/drain_controller.cpp
+++ b/src/kumquatbeam/controllers/drain_controller.cpp
@@ -1,5 +1,7 @@
 #include "kumquatbeam/controllers/drain_controller.hpp"
 
+#include "kumquatbeam/filters/request_filter.hpp"
+
 #include <utility>
 
 namespace kumquatbeam {
@@ -13,10 +15,13 @@
 {
     const event_handlers handlers {
         [&](const shutdown_requested&) {
-            if (isDraining())
+            if (isDraining()) {
+                context.log.changed({ name(), "repeated", "" });
                 return;
+            }
             m_refuseAt = context.now + m_settings.drainNotice;
             m_endBy = m_refuseAt + m_settings.drainLimit;
+            m_exitBy = m_endBy + replyAllowance;
             context.commands.send(caller_command { begin_drain {} });
             context.log.changed({ name(), "started", "" });
         },
@@ -35,7 +40,9 @@
 {
     if (m_hasFinished)
         return never;
-    return m_hasStoppedAccepting ? m_endBy : m_refuseAt;
+    if (!m_hasStoppedAccepting)
+        return m_refuseAt;
+    return m_hasEndedRequests ? m_exitBy : m_endBy;
 }
 
 void drain_controller::onDeadline(decision_context& context)
@@ -45,7 +52,11 @@
         context.commands.send(caller_command { stop_accepting {} });
     }
     closeCallersWhenIdle(context);
-    if (context.now >= m_endBy)
+    if (context.now >= m_endBy && !std::exchange(m_hasEndedRequests, true)) {
+        context.log.changed({ name(), "ended-requests", std::to_string(m_inProgress) });
+        context.commands.send(caller_command { end_requests { unknownOutcome({ failure_kind::Draining }) } });
+    }
+    if (context.now >= m_exitBy)
         finish(context);
 }
 
--- a/src/kumquatbeam/controllers/drain_controller.hpp
+++ b/src/kumquatbeam/controllers/drain_controller.hpp
@@ -6,10 +6,13 @@
 namespace kumquatbeam {
 
 /// Owns the graceful shutdown. The router reports not ready immediately, refuses new requests after the load balancer
-/// has had time to notice, and exits once no request is in progress and all replies and messages to peers are written,
-/// or when the drain limit expires.
+/// has had time to notice, and exits once no request is in progress and all replies and messages to peers are written.
+/// At the drain limit, each request still in progress is answered with an unknown outcome, and the router exits.
 class drain_controller final : public controller {
 public:
+    /// Time for writing the last replies after the drain limit; the process then ends even if one is unwritten.
+    static constexpr std::chrono::milliseconds replyAllowance { 400 };
+
     explicit drain_controller(const router_settings&);
 
     std::string_view name() const override { return "drain"; }
@@ -21,6 +24,9 @@
     bool isDraining() const { return m_refuseAt != never; }
     bool refusesRequests(time_point now) const { return now >= m_refuseAt; }
 
+    /// When requests in progress are ended; `never` unless a shutdown has started.
+    time_point endsRequestsAt() const { return m_endBy; }
+
 private:
     void closeCallersWhenIdle(decision_context&);
     void finish(decision_context&);
@@ -29,7 +35,9 @@
     std::int64_t m_inProgress = 0;
     time_point m_refuseAt = never;
     time_point m_endBy = never;
+    time_point m_exitBy = never;
     bool m_hasStoppedAccepting = false;
+    bool m_hasEndedRequests = false;
     bool m_isClosingCallers = false;
     bool m_hasFinished = false;
 };
--- a/src/kumquatbeam/controllers/routing_core.cpp
+++ b/src/kumquatbeam/controllers/routing_core.cpp
@@ -4,6 +4,7 @@
 #include "kumquatbeam/filters/key_filter.hpp"
 #include "kumquatbeam/filters/load_shedding_filter.hpp"
 #include "kumquatbeam/filters/route_filter.hpp"
+#include "kumquatbeam/filters/shutdown_time_filter.hpp"
 #include "kumquatbeam/filters/timeout_filter.hpp"
 
 #include <string>
@@ -38,6 +39,7 @@
     m_chain.append(std::make_unique<route_filter>(m_routes));
     m_chain.append(std::make_unique<key_filter>(m_routes));
     m_chain.append(std::make_unique<drain_filter>(m_drain));
+    m_chain.append(std::make_unique<shutdown_time_filter>(m_drain, m_dispatch));
     m_chain.append(std::make_unique<timeout_filter>());
     m_chain.append(std::make_unique<load_shedding_filter>(m_dispatch));
 }
--- a/src/kumquatbeam/duties/callers_duty.cpp
+++ b/src/kumquatbeam/duties/callers_duty.cpp
@@ -165,6 +165,16 @@
     m_acceptor.close(error);
 }
 
+void callers_duty::endRequests(const call_reply& reply)
+{
+    // A session may leave the requests in progress while it ends its own.
+    const auto inProgress = m_inProgress;
+    for (const auto& [id, session] : inProgress) {
+        session->endRequest(reply);
+        abandon(id);
+    }
+}
+
 void callers_duty::finish()
 {
     m_isFinishing = true;
@@ -208,6 +218,7 @@
         [&](set_caller_limits&& changed) { m_limits = changed.limits; },
         [&](begin_drain&&) { m_isDraining = true; },
         [&](stop_accepting&&) { stopAccepting(); },
+        [&](end_requests&& ended) { endRequests(ended.reply); },
         [&](close_caller_connections&&) { finish(); },
     };
     std::visit(handlers, std::move(command));
--- a/src/kumquatbeam/duties/callers_duty.hpp
+++ b/src/kumquatbeam/duties/callers_duty.hpp
@@ -46,6 +46,7 @@
     void acceptQueued(boost::asio::ip::tcp::acceptor&);
     void startSession(boost::asio::ip::tcp::socket);
     void stopAccepting();
+    void endRequests(const call_reply&);
     void finish();
     void reportWhenFinished();
     void handle(caller_command);
--- a/src/kumquatbeam/sessions/caller_session.cpp
+++ b/src/kumquatbeam/sessions/caller_session.cpp
@@ -63,6 +63,12 @@
     writeReply(command.reply, m_keepAlive);
 }
 
+void caller_session::endRequest(const call_reply& reply)
+{
+    if (m_request && !m_isReplyQueued)
+        deliver(reply_to_caller { *m_request, reply });
+}
+
 void caller_session::deliver(const answer_head& command)
 {
     if (m_hasSentHead)
--- a/src/kumquatbeam/sessions/caller_session.hpp
+++ b/src/kumquatbeam/sessions/caller_session.hpp
@@ -78,6 +78,10 @@
     void deliver(const answer_end&);
     /// @}
 
+    /// Ends the request in progress with a reply, or with a truncated answer if part of one was already sent. A reply
+    /// that is being written is completed.
+    void endRequest(const call_reply&);
+
     /// Closes the connection unless a request is being read, is in progress or is being answered.
     void closeIfIdle();
 
