--- a/apps/router.cpp
+++ b/apps/router.cpp
@@ -23,7 +23,7 @@
   --version        Show the version.
 
 Exit codes: 0 finished after a shutdown, 2 wrong command line, 3 invalid settings, 4 cannot listen on an address,
-6 shutdown interrupted by a second signal.
+6 shutdown interrupted by SIGINT.
 )";
 
 } // namespace
--- a/src/kumquatbeam/duties/operators_duty.cpp
+++ b/src/kumquatbeam/duties/operators_duty.cpp
@@ -111,9 +111,10 @@
     if (number == SIGHUP) {
         if (m_callbacks.onReload)
             m_callbacks.onReload();
-    } else if (std::exchange(m_hasShutdownSignal, true)) {
+    } else if (std::exchange(m_hasShutdownSignal, true) && number == SIGINT) {
         endProcess(exit_reason::Interrupted);
     } else {
+        // A supervisor may repeat SIGTERM, so it never ends the process before the requests in progress.
         m_links.decisions->post(shutdown_requested {});
     }
 }
--- a/src/kumquatbeam/duties/operators_duty.hpp
+++ b/src/kumquatbeam/duties/operators_duty.hpp
@@ -23,7 +23,7 @@
     enum class exit_reason {
         /// A shutdown finished.
         Finished,
-        /// A second signal arrived before the shutdown finished.
+        /// SIGINT arrived before the shutdown finished.
         Interrupted,
     };
 
