Take an entry of the store only if it has every field that endpoints write

Cause: an entry of another writer with version, cold_remaining_ms and sequence missing was used as an endpoint, since only the fields that the router uses were asked for. `born` may still be absent: the platform's example of an entry has none.

Entries in other tests got the missing fields, so that each is refused for its own fault.

--- a/tests/scenarios/reported_failures.py
+++ b/tests/scenarios/reported_failures.py
@@ -188,7 +188,8 @@
 
 def check_odd_entries(checks, running, router):
     """Another writer left one odd entry among those of the workers."""
-    good = {"service": "book", "address": "127.0.0.1:9", "zone": "sohar", "slots": 6, "state": "ready", "born": 1}
+    good = {"service": "book", "address": "127.0.0.1:9", "zone": "sohar", "version": "v1", "slots": 6, "state": "ready",
+            "cold_remaining_ms": 0, "sequence": 1, "born": 1}
     nested = "[" * 200000 + "]" * 200000
     odd = {"deep": '{"service":%s}' % nested, "open": "[" * 300000,
            "slots": json.dumps({**good, "slots": 5000000000}), "born": json.dumps({**good, "born": 1e30}),
--- a/tests/unit/platform/decoders.tests.cpp
+++ b/tests/unit/platform/decoders.tests.cpp
@@ -5,6 +5,7 @@
 #include "platform/store_page.hpp"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 #include <random>
 
@@ -23,7 +24,8 @@
  "tenants":[{"name":"t1","api_keys":["k1","k2"]}]})";
 
 const std::string endpointText
-    = R"({"service":"s1","address":"10.128.0.9:8080","zone":"z","slots":48,"state":"ready","born":17})";
+    = R"({"service":"s1","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":48,"state":"ready",)"
+      R"("cold_remaining_ms":0,"sequence":4,"born":17})";
 
 const std::string settingsText = R"(node_name = "n1"
 ip_address = "10.1.0.33"
@@ -34,7 +36,10 @@
 [listen]
 frontend = "10.1.0.33:8783"
 readiness = "10.1.0.33:8780"
+[limits]
+memory_mb = 400
 [bounds]
+stability_window_ms = 3500
 revocation_ms = 5000
 configuration_apply_ms = 3000
 drain_ms = 2500
@@ -112,17 +117,50 @@
 
 TEST_CASE("A malformed store entry is refused [platform]")
 {
-    for (const char* text :
-        { "", "7", "{}", "\xff\xfe", R"({"service":1,"address":"1.2.3.4:5","zone":"z","slots":1,"state":"ready"})",
-            R"({"service":"s","address":"1.2.3.4","zone":"z","slots":1,"state":"ready"})",
-            R"({"service":"s","address":"1.2.3.4:0","zone":"z","slots":1,"state":"ready"})",
-            R"({"service":"s","address":"1.2.3.4:70000","zone":"z","slots":1,"state":"ready"})",
-            R"({"service":"s","address":"nowhere:80","zone":"z","slots":1,"state":"ready"})",
-            R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":0,"state":"ready"})",
-            R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":"1","state":"ready"})",
-            R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":1,"state":"gone"})",
-            R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":1})" })
+    const auto complete = nlohmann::json::parse(endpointText);
+    const auto isRefusedWith = [&](const char* key, const nlohmann::json& value) {
+        auto entry = complete;
+        entry[key] = value;
+        return !decodeEndpoint("i-1", entry.dump()).ok();
+    };
+    CHECK_FALSE(isRefusedWith("unknown", 1));
+    for (const char* text : { "", "7", "{}", "\xff\xfe" })
         CHECK_FALSE(decodeEndpoint("i-1", text).ok());
+    CHECK(isRefusedWith("service", 1));
+    for (const char* address : { "1.2.3.4", "1.2.3.4:0", "1.2.3.4:70000", "nowhere:80" })
+        CHECK(isRefusedWith("address", address));
+    CHECK(isRefusedWith("slots", 0));
+    CHECK(isRefusedWith("slots", "1"));
+    CHECK(isRefusedWith("state", "gone"));
+}
+
+// DENIED: another writer's entry, with fields missing, was used as an endpoint, and its 404s reached the callers.
+TEST_CASE("A store entry without one of the fields that every endpoint writes is refused [platform]")
+{
+    const auto complete = nlohmann::json::parse(endpointText);
+    for (const char* key :
+        { "service", "address", "zone", "version", "slots", "state", "cold_remaining_ms", "sequence" }) {
+        auto entry = complete;
+        entry.erase(key);
+        CHECK_FALSE(decodeEndpoint("i-1", entry.dump()).ok());
+        for (const auto& value : { nlohmann::json(nullptr), nlohmann::json::array(), nlohmann::json(true) }) {
+            entry[key] = value;
+            CHECK_FALSE(decodeEndpoint("i-1", entry.dump()).ok());
+        }
+    }
+    auto entry = complete;
+    entry["version"] = 1;
+    CHECK_FALSE(decodeEndpoint("i-1", entry.dump()).ok());
+    entry = complete;
+    entry["sequence"] = 4.5;
+    CHECK_FALSE(decodeEndpoint("i-1", entry.dump()).ok());
+    entry = complete;
+    entry["cold_remaining_ms"] = "0";
+    CHECK_FALSE(decodeEndpoint("i-1", entry.dump()).ok());
+    entry["cold_remaining_ms"] = 1250.5;
+    CHECK(decodeEndpoint("i-1", entry.dump()).ok());
+    entry.erase("born");
+    CHECK(decodeEndpoint("i-1", entry.dump())->incarnation == 0);
 }
 
 TEST_CASE("A store page is decoded, and a value that is not base64 is left empty [platform]")
@@ -189,6 +227,8 @@
     CHECK(settings->router.drainNotice + settings->router.drainLimit < settings->bounds.gracePeriod);
     // Requests accepted later than 3 s after SIGTERM must finish, however long they run.
     CHECK(settings->router.drainNotice < std::chrono::milliseconds(3000));
+    CHECK(settings->router.answerMemoryLimit == 100 * 1024 * 1024);
+    CHECK(settings->bounds.outageStabilityWindow == std::chrono::milliseconds(3500));
     // The shorter of the limits for a change of the configuration and of an endpoint.
     CHECK(settings->bounds.changePropagationLimit == std::chrono::milliseconds(2500));
 }
@@ -213,7 +253,8 @@
 TEST_CASE("A number of an entry that is too large or not whole refuses the whole entry [platform]")
 {
     const auto entryWith = [](const std::string& key, const std::string& value) {
-        return R"({"service":"s1","address":"10.128.0.9:8080","zone":"z","state":"ready")"
+        return R"({"service":"s1","address":"10.128.0.9:8080","zone":"z","version":"v1","state":"ready",)"
+               R"("cold_remaining_ms":0,"sequence":4)"
             + std::string(key == "slots" ? "" : R"(,"slots":48)") + ",\"" + key + "\":" + value + "}";
     };
     CHECK(decodeEndpoint("i-1", entryWith("slots", "48"))->slots.value == 48);
@@ -229,10 +270,11 @@
 TEST_CASE("A port out of range refuses the entry [platform]")
 {
     for (const char* address : { "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-80", "10.0.0.1:+80", "10.0.0.1:4294967376",
-             "10.0.0.1:80x", "10.0.0.1:", "10.0.0.1", ":80", "10.0.0.1:80:90" })
-        CHECK_FALSE(decodeEndpoint(
-            "i-1", std::string(R"({"service":"s","zone":"z","slots":1,"state":"ready","address":")") + address + "\"}")
-                        .ok());
+             "10.0.0.1:80x", "10.0.0.1:", "10.0.0.1", ":80", "10.0.0.1:80:90" }) {
+        auto entry = nlohmann::json::parse(endpointText);
+        entry["address"] = address;
+        CHECK_FALSE(decodeEndpoint("i-1", entry.dump()).ok());
+    }
 }
 
 TEST_CASE("A very deeply nested entry or configuration is refused [platform]")
--- a/tests/unit/sessions/store_reader.tests.cpp
+++ b/tests/unit/sessions/store_reader.tests.cpp
@@ -26,7 +26,8 @@
 }
 
 const std::string goodEntry
-    = R"({"service":"s1","address":"10.128.0.9:8080","zone":"z","slots":48,"state":"ready","born":17})";
+    = R"({"service":"s1","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":48,"state":"ready",)"
+      R"("cold_remaining_ms":0,"sequence":4,"born":17})";
 
 /// A store reader and the scripted store that it reads.
 struct store_fixture {
@@ -72,9 +73,12 @@
     const auto page = R"({"items":[)" + item("servers/a", goodEntry) + ","
         + item("servers/deep", R"({"service":)" + nested + "}") + ","
         + item("servers/large",
-            R"({"service":"s1","address":"10.0.0.1:80","zone":"z","slots":5000000000,"state":"ready"})")
+            R"({"service":"s1","address":"10.0.0.1:80","zone":"z","version":"v1","slots":5000000000,"state":"ready",)"
+            R"("cold_remaining_ms":0,"sequence":4})")
         + ","
-        + item("servers/port", R"({"service":"s1","address":"10.0.0.1:99999","zone":"z","slots":4,"state":"ready"})")
+        + item("servers/port",
+            R"({"service":"s1","address":"10.0.0.1:99999","zone":"z","version":"v1","slots":4,"state":"ready",)"
+            R"("cold_remaining_ms":0,"sequence":4})")
         + R"(,{"key":"servers/no-revision","value":""},{"key":"servers/null","revision":4,"value":null},7,)"
         + R"({"key":"servers/huge","revision":99999999999999999999999,"value":""},)" + item("servers/z", goodEntry)
         + R"(],"truncated":false,"store_revision":9})";
