Read the limits for callers when a request begins

Cause: a session took the limits when it began to wait for its next request. It now only waits for bytes then, reads the limits when they arrive, and checks the idle timeout again when it expires.

Red before: caller_session.tests, raised and lowered body limit, raised header limit, raised idle timeout.

--- a/src/kumquatbeam/sessions/caller_session.cpp
+++ b/src/kumquatbeam/sessions/caller_session.cpp
@@ -44,13 +44,14 @@
 caller_session::caller_session(asio::ip::tcp::socket socket, caller_session_delegate& delegate)
     : m_delegate(delegate)
     , m_stream(std::move(socket))
+    , m_idleTimer(m_stream.get_executor())
 {
 }
 
 void caller_session::start()
 {
     m_buffer.reserve(initialBufferSize);
-    readRequest();
+    awaitRequest();
 }
 
 void caller_session::deliver(const reply_to_caller& command)
@@ -94,7 +95,7 @@
 {
     beast::error_code error;
     const bool hasBytes = m_buffer.size() > 0 || m_stream.socket().available(error) > 0;
-    if (m_isReading && !m_parser->got_some() && !hasBytes)
+    if (m_isReading && !m_parser && !hasBytes)
         closeConnection();
 }
 
@@ -112,9 +113,51 @@
         shared_from_this(), [step](caller_session& self, beast::error_code error, auto...) { (self.*step)(error); });
 }
 
-void caller_session::readRequest()
+void caller_session::awaitRequest()
 {
     m_isReading = true;
+    m_parser.reset();
+    if (m_buffer.size() > 0) {
+        readRequest();
+        return;
+    }
+    // The limits may change while the connection is idle, so they are read when a request begins, and the timeout is
+    // checked again when it expires.
+    m_idleSince = clock::now();
+    m_stream.socket().async_wait(asio::socket_base::wait_read, handlerOf(&caller_session::onReadableWhenIdle));
+    armIdleTimer();
+}
+
+void caller_session::onReadableWhenIdle(beast::error_code error)
+{
+    if (m_isClosed)
+        return;
+    m_idleTimer.cancel();
+    if (error)
+        closeConnection();
+    else
+        readRequest();
+}
+
+void caller_session::armIdleTimer()
+{
+    m_idleTimer.expires_at(m_idleSince + m_delegate.limits().idleTimeout);
+    m_idleTimer.async_wait(handlerOf(&caller_session::onIdleTimer));
+}
+
+void caller_session::onIdleTimer(beast::error_code error)
+{
+    // A request may have begun after the timer had expired.
+    if (error || m_isClosed || m_parser || !m_isReading)
+        return;
+    if (clock::now() < m_idleSince + m_delegate.limits().idleTimeout)
+        armIdleTimer();
+    else
+        closeConnection();
+}
+
+void caller_session::readRequest()
+{
     m_parser.emplace();
     m_parser->eager(true);
     m_parser->header_limit(
@@ -340,7 +383,7 @@
     if (m_request)
         m_delegate.unregisterRequest(*std::exchange(m_request, std::nullopt));
     if (m_keepAlive && !m_delegate.isDraining())
-        readRequest();
+        awaitRequest();
     else if (m_hasUnreadInput)
         discardRest();
     else
@@ -373,6 +416,7 @@
         m_delegate.unregisterRequest(*std::exchange(m_request, std::nullopt));
     // A write in progress still uses the bytes in `m_outgoing`.
     beast::error_code ignored;
+    m_idleTimer.cancel();
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     m_stream.close();
     m_delegate.onConnectionClosed(*this);
--- a/src/kumquatbeam/sessions/caller_session.hpp
+++ b/src/kumquatbeam/sessions/caller_session.hpp
@@ -2,6 +2,7 @@
 
 #include "kumquatbeam/codec/caller_dialect.hpp"
 #include "kumquatbeam/controllers/command.hpp"
+#include "kumquatbeam/runtime/deadline_timer.hpp"
 #include "kumquatbeam/sessions/message_buffer.hpp"
 #include "kumquatbeam/types/ids.hpp"
 #include "kumquatbeam/types/time.hpp"
@@ -103,6 +104,10 @@
     /// A completion handler that calls the member function.
     template <typename Step> auto handlerOf(Step);
 
+    void awaitRequest();
+    void onReadableWhenIdle(boost::beast::error_code);
+    void armIdleTimer();
+    void onIdleTimer(boost::beast::error_code);
     void readRequest();
     void onFirstBytes(boost::beast::error_code);
     void onHeader(boost::beast::error_code);
@@ -127,7 +132,10 @@
 
     caller_session_delegate& m_delegate;
     boost::beast::tcp_stream m_stream;
+    deadline_timer m_idleTimer;
+    time_point m_idleSince {};
     boost::beast::flat_buffer m_buffer { messageBufferLimit };
+    /// Empty until the first bytes of a request have arrived.
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
     std::optional<request_id> m_request;
     std::deque<outgoing> m_outgoing;
--- a/tests/unit/sessions/caller_session.tests.cpp
+++ b/tests/unit/sessions/caller_session.tests.cpp
@@ -58,6 +58,8 @@
     const caller_dialect& dialect() const override { return m_dialect; }
     const caller_limits& limits() const override { return m_limits; }
 
+    void setLimits(const caller_limits& changed) { m_limits = changed; }
+
     asio::ip::tcp::endpoint address() const { return m_acceptor.local_endpoint(); }
 
     std::map<request_id, std::shared_ptr<caller_session>> sessions;
@@ -108,6 +110,16 @@
         isClosed = true;
     }
 
+    void send(std::string bytes)
+    {
+        m_output = std::move(bytes);
+        asio::async_write(m_socket, asio::buffer(m_output), [self = shared_from_this()](auto error, std::size_t size) {
+            self->sentBytes += size;
+            if (!error && !self->m_repeated.empty())
+                self->send(self->m_repeated);
+        });
+    }
+
     std::string received;
     std::size_t sentBytes = 0;
     bool isClosed = false;
@@ -125,16 +137,6 @@
         });
     }
 
-    void send(std::string bytes)
-    {
-        m_output = std::move(bytes);
-        asio::async_write(m_socket, asio::buffer(m_output), [self = shared_from_this()](auto error, std::size_t size) {
-            self->sentBytes += size;
-            if (!error && !self->m_repeated.empty())
-                self->send(self->m_repeated);
-        });
-    }
-
     asio::ip::tcp::socket m_socket;
     std::string m_output;
     std::string m_repeated;
@@ -248,3 +250,62 @@
     call(requestHead + "\r\n");
     CHECK(until([&] { return duty.requests.size() == 1; }));
 }
+
+// DENIED: a raised limit was not in force on connections that had been idle since before the change.
+TEST_CASE_FIXTURE(caller_fixture, "Changed limits hold for the next request of an idle connection [caller_session]")
+{
+    const auto requestOf = [](std::size_t size) {
+        return requestHead + "Content-Length: " + std::to_string(size) + "\r\n\r\n" + std::string(size, 'x');
+    };
+    const auto small = duty.limits().body.value / 2;
+    const auto large = duty.limits().body.value * 2;
+    const auto caller = call(requestOf(small));
+    REQUIRE(until([&] { return duty.requests.size() == 1; }));
+    duty.sessions.begin()->second->deliver(reply_to_caller { { 1 }, { .kind = reply_kind::Answered } });
+    REQUIRE(until([&] { return caller->received.find("200 OK") != std::string::npos; }));
+    // The session waits for its next request from here on.
+    runUntil(
+        context, [] { return false; }, 50ms);
+    auto changed = duty.limits();
+    SUBCASE("a raised body limit")
+    {
+        changed.body = { large };
+        duty.setLimits(changed);
+        caller->send(requestOf(large));
+        CHECK(until([&] { return duty.requests.size() == 2; }));
+    }
+    SUBCASE("a lowered body limit")
+    {
+        changed.body = { small / 2 };
+        duty.setLimits(changed);
+        caller->send(requestOf(small));
+        CHECK(until([&] { return caller->received.find("413") != std::string::npos; }));
+        CHECK(duty.requests.size() == 1);
+    }
+    SUBCASE("a raised header limit")
+    {
+        changed.header = { 32 * 1024 };
+        duty.setLimits(changed);
+        caller->send(requestHead + "X-Long: " + std::string(20 * 1024, 'x') + "\r\n\r\n");
+        CHECK(until([&] { return duty.requests.size() == 2; }));
+    }
+    SUBCASE("a raised idle timeout")
+    {
+        changed.idleTimeout = 3s;
+        duty.setLimits(changed);
+        runUntil(
+            context, [] { return false; }, 1500ms);
+        CHECK_FALSE(caller->isClosed);
+        caller->send(requestOf(small));
+        CHECK(until([&] { return duty.requests.size() == 2; }));
+    }
+}
+
+TEST_CASE_FIXTURE(caller_fixture, "A connection without a request is closed at the idle timeout [caller_session]")
+{
+    const auto opened = clock::now();
+    const auto caller = call("");
+    CHECK(until([&] { return duty.closed == 1; }));
+    CHECK(clock::now() >= opened + duty.limits().idleTimeout);
+    CHECK(clock::now() < opened + duty.limits().idleTimeout + 500ms);
+}
