Read a process's memory, and start the next call on a connection, in one place each

Two checks of reported_failures read the kernel's status file alike, and two tests of endpoint sessions built the same second call.

--- a/tests/scenarios/reported_failures.py
+++ b/tests/scenarios/reported_failures.py
@@ -36,10 +36,15 @@
     return "".join(f"id: {number}\ndata: {request_id} event {number}\n\n" for number in range(1, last + 1)).encode()
 
 
+def status_kib(router, field):
+    """A size that the kernel states for the router's process, in KiB."""
+    with open(f"/proc/{router.process.pid}/status", encoding="ascii") as status:
+        return next(int(line.split()[1]) for line in status if line.startswith(field + ":"))
+
+
 def memory_of(router):
     """Resident memory of the router's process, in KiB."""
-    with open(f"/proc/{router.process.pid}/status", encoding="ascii") as status:
-        return next(int(line.split()[1]) for line in status if line.startswith("VmRSS:"))
+    return status_kib(router, "VmRSS")
 
 
 def check_serving(checks, running, router, name):
@@ -125,8 +130,7 @@
 
 def peak_memory_of(router):
     """Largest resident memory of the router's process since the last reset, in KiB."""
-    with open(f"/proc/{router.process.pid}/status", encoding="ascii") as status:
-        return next(int(line.split()[1]) for line in status if line.startswith("VmHWM:"))
+    return status_kib(router, "VmHWM")
 
 
 def check_hoarded_answers(checks, running, router):
--- a/tests/unit/sessions/endpoint_session.tests.cpp
+++ b/tests/unit/sessions/endpoint_session.tests.cpp
@@ -15,6 +15,17 @@
 const std::string sealedHead = "HTTP/1.1 200 OK\r\nAttempt-Id: call\r\nResponse-Seal: s\r\n";
 const std::string refusalHead = "HTTP/1.1 503 Full\r\nAttempt-Id: call\r\nNot-Executed: 1\r\n";
 
+/// Forgets the outcomes so far, and starts an attempt at the call with the id `next`.
+void startNextCall(endpoint_session_fixture& fixture)
+{
+    auto next = fixture.attempt(400ms);
+    auto call = *next.call;
+    call.callerRequestId = { "next" };
+    next.call = std::make_shared<const call_request>(std::move(call));
+    fixture.duty.outcomes.clear();
+    fixture.start(std::move(next));
+}
+
 } // namespace
 
 TEST_CASE("A timed-out attempt leaves no operation on a freed connection [endpoint_session]")
@@ -107,12 +118,7 @@
     REQUIRE(fixture.outcome(2s));
     CHECK(fixture.duty.outcomes.front().body == "own");
     // The next call starts before the copy arrives, so only the copy's id shows that it is not the answer.
-    auto next = fixture.attempt(400ms);
-    auto call = *next.call;
-    call.callerRequestId = { "next" };
-    next.call = std::make_shared<const call_request>(std::move(call));
-    fixture.duty.outcomes.clear();
-    fixture.start(std::move(next));
+    startNextCall(fixture);
     CHECK(fixture.server.connections() == 1);
     const auto ended = fixture.outcome(2s);
     REQUIRE(ended);
@@ -225,12 +231,7 @@
     if (!fixture.outcome(2s))
         return std::nullopt;
     fixture.server.sendOnNextRequest(additionalBytes + ownAnswer);
-    auto next = fixture.attempt(400ms);
-    auto call = *next.call;
-    call.callerRequestId = { "next" };
-    next.call = std::make_shared<const call_request>(std::move(call));
-    fixture.duty.outcomes.clear();
-    fixture.start(std::move(next));
+    startNextCall(fixture);
     auto ended = fixture.outcome(2s);
     CHECK(fixture.server.connections() == 1);
     // Whatever comes next on this connection cannot be told from further bytes of that kind.
