--- a/src/kumquatbeam/controllers/decision_event.hpp
+++ b/src/kumquatbeam/controllers/decision_event.hpp
@@ -53,6 +53,8 @@
     std::int64_t running = 0;
     std::int64_t waiting = 0;
     bool isLeaving = false;
+    /// How long work takes on the endpoint's machine at the moment, relative to the usual time, if it says so.
+    std::optional<double> slowdown {};
 };
 
 /// How an attempt to run a call at an endpoint ended.
@@ -106,6 +108,8 @@
 /// The head of a streamed answer has arrived.
 struct answer_begun {
     request_id id;
+    /// Load that the endpoint reported in the head.
+    std::optional<endpoint_load> load {};
 };
 
 /// The endpoint answered a load query, or the query failed.
@@ -174,6 +178,7 @@
 struct routes_observed {
     std::shared_ptr<const route_table> table;
     time_point readStartedAt;
+    source_era era {};
 };
 
 /// A read of the announced endpoints. They were announced at some time after `readStartedAt`.
@@ -182,6 +187,7 @@
     time_point readStartedAt;
     /// Set if reads have failed since the last one that succeeded: the outage did not end before this time.
     std::optional<time_point> outageEndedAfter {};
+    source_era era {};
 };
 
 /// The source of routes and endpoints has become unreadable.
--- a/src/kumquatbeam/decisions/placement/placement_strategy.hpp
+++ b/src/kumquatbeam/decisions/placement/placement_strategy.hpp
@@ -23,6 +23,10 @@
     slot_count slots;
     /// Prefill rate in prompt tokens per millisecond; zero for plain services.
     double prefillRate = 0;
+    /// Start of the endpoint's incarnation, to which its load and its learned rate belong.
+    std::int64_t incarnation = 0;
+    /// Until when the endpoint is cold and takes only a limited rate of requests.
+    time_point coldUntil = time_point::min();
     /// This router's calls in flight at the endpoint.
     std::int64_t running = 0;
     /// Prompt tokens of this router's calls that the endpoint has not answered yet.
--- a/src/kumquatbeam/settings/endpoint_directory.hpp
+++ b/src/kumquatbeam/settings/endpoint_directory.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "kumquatbeam/types/ids.hpp"
+#include "kumquatbeam/types/time.hpp"
 #include "kumquatbeam/types/units.hpp"
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 namespace kumquatbeam {
@@ -20,6 +22,8 @@
     /// Start of this incarnation, as a number from the endpoint itself. A restarted endpoint has a larger one.
     std::int64_t incarnation = 0;
     bool isDraining = false;
+    /// Until when the endpoint is cold: it has just started and takes only a limited rate of requests.
+    time_point coldUntil = time_point::min();
 
     friend bool operator==(const announced_endpoint&, const announced_endpoint&) = default;
 };
@@ -27,6 +31,8 @@
 /// All endpoints that are announced at one time. Announcements that cannot be parsed are left out.
 struct endpoint_directory {
     std::map<endpoint_id, announced_endpoint> endpoints;
+    /// Failure domains whose endpoints get no further requests until the operators take the evacuation back.
+    std::set<failure_domain_id> evacuatedDomains {};
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/settings/route_bounds.hpp
+++ b/src/kumquatbeam/settings/route_bounds.hpp
@@ -2,9 +2,16 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace kumquatbeam {
 
+/// Limit of the requests that a cold endpoint may get.
+struct cold_bounds {
+    double overshoot = 1;
+    std::int64_t slack = 0;
+};
+
 /// Bounds that a router of routed calls must meet. The platform sets them in the settings of the process.
 struct route_bounds {
     /// Time after the revocation of an account key by which routers must have stopped accepting it.
@@ -24,6 +31,9 @@
     std::int64_t retryAllowance = 50;
     std::chrono::milliseconds retryWindow { 10'000 };
     /// @}
+    /// Set if cold endpoints have a limit: in any second one takes `coldOvershoot` times the rate that it is made for,
+    /// and `coldSlack` requests more, from all routers together.
+    std::optional<cold_bounds> cold {};
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/settings/route_table.hpp
+++ b/src/kumquatbeam/settings/route_table.hpp
@@ -52,11 +52,20 @@
     token_count cacheTokens;
 };
 
+/// How endpoints of a pool start: each is cold for some time, in which it takes only a limited rate of requests.
+struct cold_start {
+    std::chrono::milliseconds duration { 0 };
+    /// Requests per second, from all routers together, that a cold endpoint is made for.
+    double requestsPerSecond = 0;
+};
+
 /// A pool that is the target of routes.
 struct routed_pool {
     pool_id id;
     /// Set for model engines; unset for plain services.
     std::optional<engine_traits> engine;
+    /// Set if endpoints of the pool are cold after a start.
+    std::optional<cold_start> coldStart {};
 };
 
 /// Routes, pools and account keys as published by the operators: one version, put in force atomically.
--- a/src/kumquatbeam/types/ids.hpp
+++ b/src/kumquatbeam/types/ids.hpp
@@ -31,6 +31,10 @@
 /// Revision of a document that the platform publishes; it only increases.
 using revision = strong_value<struct revision_tag, std::uint64_t>;
 
+/// Generation of the published data. It increases when the store that publishes it was restored from an older copy, so
+/// that revisions go back and are given out again.
+using source_era = strong_value<struct source_era_tag, std::uint64_t>;
+
 /// Id of a request, unique within one router incarnation.
 using request_id = strong_value<struct request_tag, std::uint64_t>;
 
