Take no part of an early answer for complete, and no status outside of HTTP for an answer

Cause: a socket reports a reset only once. If an endpoint answers without length and resets the connection while the upload is still being written, the write comes first and consumes the error; the read behind it sees a regular end of the connection, which ends an answer without length. A close and an early end of the endpoint's direction have the same effect. Ruled out: answers with a length or with chunks. Their end does not depend on the connection; they were broken when cut short and complete when whole, before and after.

Cause of the second fault: the HTTP library accepts any three digits as a status. Statuses below 200 were all taken for interim answers, so 000 left the attempt waiting until its deadline, and a 200 behind it counted. 600 to 999 were taken for final statuses. Other forms (0, 99, 1000, 2xx) are rejected by the HTTP library, and interim answers were skipped correctly already.

Conclusion: until the whole request is written, the end of the connection ends no answer that states no length, and a status outside 100 to 599 breaks the attempt at its head. Both outcomes are unknown, never not run. An endpoint that answers an upload early has to state a length or use chunks.

--- a/src/kumquatbeam/sessions/endpoint_session.cpp
+++ b/src/kumquatbeam/sessions/endpoint_session.cpp
@@ -19,6 +19,11 @@
 
 namespace {
 
+    /// @{ Statuses of HTTP (RFC 9110, section 15). The HTTP library accepts any three digits.
+    constexpr unsigned lowestStatus = 100;
+    constexpr unsigned highestStatus = 599;
+    /// @}
+
     /// Lower statuses (1xx) are interim.
     constexpr unsigned lowestFinalStatus = 200;
 
@@ -131,7 +136,7 @@
         m_request, std::chrono::floor<std::chrono::milliseconds>(m_attempt.deadline - now));
     m_hasSent = true;
     // An endpoint may answer before it has read the whole request, so reading starts at once. A failed write shows up
-    // as a failed read.
+    // as a failed read or, since the write consumes the socket's error, as a regular end of the connection.
     http::async_write(m_connection->socket, m_request, handlerOf(&endpoint_session::onRequestWritten));
     readHead();
 }
@@ -174,6 +179,10 @@
         return;
     }
     const auto& head = m_parser->get();
+    if (head.result_int() < lowestStatus || head.result_int() > highestStatus) {
+        finishFailed(failure_kind::EndpointBroke);
+        return;
+    }
     if (head.result_int() < lowestFinalStatus) {
         // An interim answer; the final one follows.
         if (++m_skippedAnswers > skippedAnswerLimit)
@@ -363,7 +372,10 @@
 
 void endpoint_session::finishCompleted()
 {
-    if (m_delivery == answer_delivery::Events && m_events.hasPartialEvent()) {
+    // Before the whole request is written, a regular end of the connection cannot be told from a break: a failed write
+    // may have consumed the error. It ends no answer that states no length.
+    const bool isBrokenOff = m_parser->need_eof() && !m_isRequestWritten;
+    if (isBrokenOff || (m_delivery == answer_delivery::Events && m_events.hasPartialEvent())) {
         finishFailed(failure_kind::EndpointBroke);
         return;
     }
--- a/tests/unit/sessions/scripted_server.hpp
+++ b/tests/unit/sessions/scripted_server.hpp
@@ -33,6 +33,15 @@
     bool speaksFirst = false;
     /// Whether the server reads what arrives; otherwise the other side's writes block.
     bool reads = true;
+    /// Whether the server reads only once on each connection, so that a long request is never read whole.
+    bool readsOnce = false;
+    /// Whether the server closes the connection after the opening. The kernel resets it if a part of the request is
+    /// unread.
+    bool closes = false;
+    /// Whether the server ends its direction of the connection after the opening, and keeps the other one.
+    bool endsSending = false;
+    /// Pause between the opening and the end of the connection or of its direction.
+    std::chrono::milliseconds endPause { 0 };
 };
 
 /// A server on loopback that runs on the test's I/O context and follows a script. It counts what it has seen.
@@ -118,7 +127,8 @@
                     self->m_counts->requests += endsRequest ? 1 : 0;
                     if (endsRequest && !self->m_script->speaksFirst && !self->m_isSilent)
                         self->open();
-                    self->read();
+                    if (!self->m_script->readsOnce)
+                        self->read();
                 });
         }
 
@@ -129,16 +139,38 @@
                 return;
             }
             send(m_script->opening, [this] {
-                if (m_script->resets) {
-                    boost::system::error_code ignored;
-                    m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-                    close();
-                    return;
-                }
-                scheduleRepetition();
+                if (m_script->resets || m_script->closes || m_script->endsSending)
+                    scheduleEnd();
+                else
+                    scheduleRepetition();
             });
         }
 
+        void scheduleEnd()
+        {
+            if (m_script->endPause.count() == 0) {
+                end();
+                return;
+            }
+            m_pause.expires_after(m_script->endPause);
+            m_pause.async_wait([self = shared_from_this()](auto error) {
+                if (!error && !self->m_isClosed)
+                    self->end();
+            });
+        }
+
+        void end()
+        {
+            boost::system::error_code ignored;
+            if (m_script->endsSending) {
+                m_socket.shutdown(boost::asio::socket_base::shutdown_send, ignored);
+                return;
+            }
+            if (m_script->resets)
+                m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+            close();
+        }
+
         void scheduleRepetition()
         {
             if (m_script->repeated.empty() && m_script->ending.empty())
