--- a/tests/fuzz/endpoint_answer.cpp
+++ b/tests/fuzz/endpoint_answer.cpp
@@ -2,7 +2,8 @@
 
 #include "sessions/endpoint_session_fixture.hpp"
 
-// An answer, head and body through the session, has exactly one outcome, and only a whole answer counts as completed.
+// An answer, head and body through the session, has exactly one outcome, and only a whole answer with a final status
+// counts as completed.
 int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     using namespace kumquatbeam;
@@ -16,5 +17,6 @@
     require(ended.has_value());
     require(fixture.duty.outcomes.size() == 1);
     require((ended->outcome == attempt_outcome::Completed) == !ended->problem.has_value());
+    require(ended->outcome != attempt_outcome::Completed || (ended->status.value >= 200 && ended->status.value <= 599));
     return 0;
 }
