Keep routes, departed endpoints and evacuations over a restore of the store

Cause: a store restored from an older copy brings back removed keys, endpoints that have left and ended evacuations, and assigns revisions again. Before, a router that started after a restore confirmed the keys of the copy, the same version with other content was ignored, endpoints that had left were used from the copy, and entries that the copy lacked were dropped at once. Now the route table and its confirmation belong to an era; a table older than one that another router had in force when the read began confirms nothing; departed incarnations are held; draining stays final; a change of era starts the grace period and keeps lost evacuations for the stability window. The era and the number of eras seen are in the log, the status and the metrics.

--- a/src/kumquatbeam/codec/metrics_text.cpp
+++ b/src/kumquatbeam/codec/metrics_text.cpp
@@ -168,6 +168,9 @@
         out.single("draining", "gauge", "Whether the router is shutting down.", report.isDraining ? 1 : 0);
         out.single("document_revision", "gauge", "Revision of the document in force.", toDouble(report.document.value));
         out.single("members_revision", "gauge", "Revision of the member list.", toDouble(report.members.value));
+        out.single("source_era", "gauge", "Era of the published data.", toDouble(report.sourceEra.value));
+        out.single("source_eras_total", "counter", "Eras of the published data that the router has seen.",
+            toDouble(report.sourceErasSeen));
         out.single("control_sent_bytes_total", "counter", "Bytes of frames to other routers.",
             toDouble(report.controlBytesSent));
         out.single(
--- a/src/kumquatbeam/codec/status_json.cpp
+++ b/src/kumquatbeam/codec/status_json.cpp
@@ -31,6 +31,8 @@
         { "document_revision", report.document.value },
         { "refused_document_revision", report.refusedDocument.value },
         { "members_revision", report.members.value },
+        { "source_era", report.sourceEra.value },
+        { "source_eras_seen", report.sourceErasSeen },
         { "ready", report.isReady },
         { "draining", report.isDraining },
         { "strategy", report.strategy },
--- a/src/kumquatbeam/controllers/directory_controller.cpp
+++ b/src/kumquatbeam/controllers/directory_controller.cpp
@@ -80,16 +80,21 @@
     time_point earliest = never;
     for (const auto& [id, dropAt] : m_missing)
         earliest = std::min(earliest, dropAt);
+    for (const auto& [domain, until] : m_evacuatedUntil)
+        earliest = std::min(earliest, until);
     return earliest;
 }
 
 void directory_controller::onDeadline(decision_context& context)
 {
-    bool hasChanged = false;
+    bool hasChanged = endEvacuations(context);
     std::erase_if(m_missing, [&](const auto& entry) {
         if (entry.second > context.now)
             return false;
-        hasChanged |= m_endpoints.erase(entry.first) > 0;
+        if (const auto node = m_endpoints.extract(entry.first)) {
+            m_departed.record(node.mapped(), context.now);
+            hasChanged = true;
+        }
         context.log.changed({ name(), "gone", entry.first.value + " because=missing-since-outage" });
         return true;
     });
@@ -97,6 +102,12 @@
         publishChange(context);
 }
 
+void directory_controller::describe(status_report& report) const
+{
+    report.sourceEra = m_era;
+    report.sourceErasSeen = m_erasSeen;
+}
+
 const announced_endpoint* directory_controller::find(const endpoint_id& id) const
 {
     const auto found = m_endpoints.find(id);
@@ -107,7 +118,8 @@
 {
     const auto longestGap
         = std::chrono::duration_cast<clock::duration>(m_bounds.changePropagationLimit * outageFraction);
-    if (m_lastRead != never && observed.readStartedAt > m_lastRead + longestGap) {
+    const bool isRestored = updateEra(observed.era, context);
+    if (isRestored || (m_lastRead != never && observed.readStartedAt > m_lastRead + longestGap)) {
         m_keepMissingUntil = keepMissingUntil(observed);
         context.log.changed({ name(), "regained",
             "after-ms=" + millisecondsText(observed.readStartedAt - m_lastRead) + " outage-ended-within-ms="
@@ -116,12 +128,61 @@
     }
     m_lastRead = observed.readStartedAt;
     std::erase_if(m_leaving, [&](const auto& entry) { return entry.second.forgetAt <= context.now; });
-    bool hasChanged = applyAnnouncements(*observed.directory, context);
+    if (isRestored)
+        holdDeparted(*observed.directory, context);
+    bool hasChanged = applyEvacuations(observed.directory->evacuatedDomains,
+        isRestored ? observed.readStartedAt + m_bounds.outageStabilityWindow : time_point::min(), context);
+    hasChanged |= applyAnnouncements(*observed.directory, context);
     hasChanged |= dropMissing(*observed.directory, observed.readStartedAt, context);
     if (hasChanged)
         publishChange(context);
 }
 
+bool directory_controller::updateEra(source_era era, decision_context& context)
+{
+    if (m_erasSeen > 0 && era == m_era)
+        return false;
+    const auto before = m_erasSeen > 0 ? " before=" + std::to_string(m_era.value) : std::string();
+    context.log.changed({ "source", "era", std::to_string(era.value) + before });
+    m_era = era;
+    return m_erasSeen++ > 0;
+}
+
+void directory_controller::holdDeparted(const endpoint_directory& directory, decision_context& context)
+{
+    for (const auto& id : m_departed.holdThoseIn(directory, context.now))
+        context.log.changed({ name(), "held",
+            id.value + " for-ms=" + millisecondsText(departed_endpoints::holdTime)
+                + " because=gone-before-the-restore" });
+}
+
+bool directory_controller::applyEvacuations(
+    const std::set<failure_domain_id>& announced, time_point keepLostUntil, decision_context& context)
+{
+    bool hasChanged = false;
+    for (const auto& domain : announced) {
+        if (!m_evacuatedUntil.insert_or_assign(domain, never).second)
+            continue;
+        context.log.changed({ name(), "evacuated", domain.value });
+        hasChanged = true;
+    }
+    for (auto& [domain, until] : m_evacuatedUntil) {
+        if (until == never && !announced.contains(domain))
+            until = keepLostUntil;
+    }
+    return endEvacuations(context) || hasChanged;
+}
+
+bool directory_controller::endEvacuations(decision_context& context)
+{
+    return std::erase_if(m_evacuatedUntil, [&](const auto& entry) {
+        if (entry.second > context.now)
+            return false;
+        context.log.changed({ name(), "evacuation-ended", entry.first.value });
+        return true;
+    }) > 0;
+}
+
 time_point directory_controller::keepMissingUntil(const directory_observed& observed) const
 {
     // The outage ended between the last failed read and this one. An announcement is back within the grace period of
@@ -138,6 +199,8 @@
     bool hasChanged = false;
     for (const auto& [id, announced] : directory.endpoints) {
         m_missing.erase(id);
+        if (m_departed.isHeld(announced, directory, context.now))
+            continue;
         const auto known = m_endpoints.find(id);
         // Announcements of an earlier incarnation may be read late.
         if (known != m_endpoints.end()
@@ -148,6 +211,8 @@
         if (known != m_endpoints.end() && known->second.incarnation == announced.incarnation)
             merged.isDraining |= known->second.isDraining;
         merged.isDraining |= isLeaving(id, merged.incarnation);
+        if (known == m_endpoints.end())
+            merged.isDraining |= m_departed.release(announced);
         if (known != m_endpoints.end() && known->second == merged)
             continue;
         m_endpoints.insert_or_assign(id, merged);
@@ -174,6 +239,7 @@
             return false;
         }
         context.log.changed({ name(), "gone", id.value + " because=removed" });
+        m_departed.record(entry.second, context.now);
         return true;
     }) > 0;
 }
--- a/src/kumquatbeam/controllers/directory_controller.hpp
+++ b/src/kumquatbeam/controllers/directory_controller.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kumquatbeam/controllers/controller.hpp"
+#include "kumquatbeam/decisions/departed_endpoints.hpp"
 #include "kumquatbeam/settings/endpoint_directory.hpp"
 #include "kumquatbeam/settings/route_bounds.hpp"
 #include "kumquatbeam/types/peer_message.hpp"
@@ -18,6 +19,9 @@
 /// announcements, from what the endpoint says in its answers, and from other routers. Announcements expire while their
 /// writers cannot reach the directory, so an endpoint missing after an outage is kept for a grace period that counts
 /// from the end of the outage.
+///
+/// A restore of the directory from an older copy counts as an outage. Incarnations that had left before it are not used
+/// from the copy (see `departed_endpoints`), and evacuations that it lost end only after the stability window.
 class directory_controller final : public controller {
 public:
     /// Longest gap between two reads that does not count as an outage, as a fraction of the change propagation limit.
@@ -38,6 +42,7 @@
     void handle(const decision_event&, decision_context&) override;
     time_point nextDeadline() const override;
     void onDeadline(decision_context&) override;
+    void describe(status_report&) const override;
 
     /// All endpoints that are announced or kept after an outage.
     const std::map<endpoint_id, announced_endpoint>& endpoints() const { return m_endpoints; }
@@ -45,6 +50,9 @@
     /// Adds the endpoints that have said in answers that they are leaving to a heartbeat.
     void addLeaving(fleet_heartbeat&) const;
 
+    /// Whether the failure domain is evacuated.
+    bool isEvacuated(const failure_domain_id& domain) const { return m_evacuatedUntil.contains(domain); }
+
     /// The endpoint, or null if it is gone.
     const announced_endpoint* find(const endpoint_id&) const;
 
@@ -56,6 +64,10 @@
     };
 
     void observe(const directory_observed&, decision_context&);
+    bool updateEra(source_era, decision_context&);
+    void holdDeparted(const endpoint_directory&, decision_context&);
+    bool applyEvacuations(const std::set<failure_domain_id>& announced, time_point keepLostUntil, decision_context&);
+    bool endEvacuations(decision_context&);
     void receiveLeaving(const fleet_heartbeat&, decision_context&);
     void recordLeaving(const endpoint_id&, std::int64_t incarnation, std::string_view source, decision_context&);
     bool isLeaving(const endpoint_id&, std::int64_t incarnation) const;
@@ -68,6 +80,12 @@
     std::map<endpoint_id, announced_endpoint> m_endpoints;
     /// Endpoints that have said in answers, here or at another router, that they are leaving.
     std::map<endpoint_id, leaving_incarnation> m_leaving;
+    /// Evacuated failure domains, each with `never`, or with the time until which it is kept after a restore lost it.
+    std::map<failure_domain_id, time_point> m_evacuatedUntil;
+    departed_endpoints m_departed;
+    source_era m_era {};
+    /// Number of eras of the directory that this process has seen, one after another.
+    std::uint64_t m_erasSeen = 0;
     time_point m_lastRead = never;
     /// End of the grace period in which endpoints that are missing since an outage are kept.
     time_point m_keepMissingUntil = time_point::min();
--- a/src/kumquatbeam/controllers/route_controller.cpp
+++ b/src/kumquatbeam/controllers/route_controller.cpp
@@ -1,5 +1,7 @@
 #include "kumquatbeam/controllers/route_controller.hpp"
 
+#include "kumquatbeam/controllers/fleet_controller.hpp"
+
 #include <algorithm>
 #include <string>
 
@@ -16,6 +18,15 @@
     /// endpoint and the wait for a slot there.
     constexpr std::chrono::milliseconds sendMargin { 500 };
 
+    /// Time for which a table that another router has named as in force counts after the last heartbeat that named it:
+    /// as long as a silent router is known.
+    constexpr auto namedTableRetention = fleet_controller::silentRouterRetention;
+
+    std::string describeTable(revision version, source_era era)
+    {
+        return "version=" + std::to_string(version.value) + " era=" + std::to_string(era.value);
+    }
+
     time_point after(time_point from, std::chrono::milliseconds time)
     {
         return from == time_point::min() ? from : from + time;
@@ -32,6 +43,10 @@
 {
     const event_handlers handlers {
         [&](const routes_observed& observed) { observe(observed, context); },
+        [&](const peer_received& received) {
+            if (const auto* heartbeat = std::get_if<fleet_heartbeat>(&received.message))
+                receiveNamed(*heartbeat, context);
+        },
         [&](const source_lost& lost) { context.log.failed("source", lost.problem); },
         [&](const source_regained&) {
             context.log.changed({ "source", "regained", "" });
@@ -52,7 +67,8 @@
     decision_basis basis;
     if (m_table) {
         basis.routes = m_table->revisionNumber;
-        basis.age = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_confirmedAt);
+        if (m_confirmedAt != time_point::min())
+            basis.age = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_confirmedAt);
     }
     return basis;
 }
@@ -72,20 +88,54 @@
 void route_controller::observe(const routes_observed& observed, decision_context& context)
 {
     const auto& seen = observed.table;
-    if (m_table && seen->revisionNumber < m_table->revisionNumber) {
+    m_firstReadAt = std::min(m_firstReadAt, observed.readStartedAt);
+    if (m_table && (seen->revisionNumber < m_table->revisionNumber || observed.era < m_era)) {
         context.log.failed(name(),
-            { failure_kind::StaleRevision, "route table", std::to_string(seen->revisionNumber.value),
-                "at least " + std::to_string(m_table->revisionNumber.value) });
+            { failure_kind::StaleRevision, "route table", describeTable(seen->revisionNumber, observed.era),
+                "at least " + describeTable(m_table->revisionNumber, m_era) });
         return;
     }
-    m_confirmedAt = std::max(m_confirmedAt, observed.readStartedAt);
-    if (m_table && seen->revisionNumber == m_table->revisionNumber)
+    if (isOlderThanNamed(observed, context.now))
+        context.log.failed(name(),
+            { failure_kind::StaleRevision, "route table", describeTable(seen->revisionNumber, observed.era),
+                "at least version=" + std::to_string(m_named.version.value) + ", which another router has in force" });
+    else
+        m_confirmedAt = std::max(m_confirmedAt, observed.readStartedAt);
+    if (m_table && seen->revisionNumber == m_table->revisionNumber && observed.era == m_era)
         return;
     if (!m_table || m_table->limits != seen->limits)
         context.commands.send(caller_command { set_caller_limits { seen->limits } });
     m_table = seen;
-    context.log.changed({ name(), "in-force", "version=" + std::to_string(seen->revisionNumber.value) });
+    m_era = observed.era;
+    context.log.changed({ name(), "in-force", describeTable(seen->revisionNumber, m_era) });
     context.raised.emplace_back(routes_changed {});
 }
 
+void route_controller::receiveNamed(const fleet_heartbeat& heartbeat, decision_context& context)
+{
+    if (heartbeat.routes > m_named.version || context.now >= m_named.forgetAt)
+        m_named = { .version = heartbeat.routes, .heardAt = context.now };
+    if (heartbeat.routes == m_named.version)
+        m_named.forgetAt = context.now + namedTableRetention;
+    if (!isStarting(context.now) || m_named.version <= m_table->revisionNumber || m_confirmedAt == time_point::min())
+        return;
+    m_confirmedAt = time_point::min();
+    context.log.changed({ name(), "unconfirmed",
+        describeTable(m_table->revisionNumber, m_era) + " because=" + heartbeat.from.value
+            + "-has-version=" + std::to_string(m_named.version.value) });
+}
+
+bool route_controller::isStarting(time_point now) const
+{
+    // A process that starts after a restore has first read the older copy, perhaps before it heard of another router.
+    // It has no confirmation from before the restore that could still hold.
+    return m_table && m_era > source_era {} && now < m_firstReadAt + m_bounds.keyRevocationLimit;
+}
+
+bool route_controller::isOlderThanNamed(const routes_observed& observed, time_point now) const
+{
+    return observed.table->revisionNumber < m_named.version && now < m_named.forgetAt
+        && (m_named.heardAt <= observed.readStartedAt || isStarting(now));
+}
+
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/route_controller.hpp
+++ b/src/kumquatbeam/controllers/route_controller.hpp
@@ -12,6 +12,11 @@
 ///
 /// A newer table replaces the active one atomically; an older one is ignored. A read confirms that the keys in it were
 /// the newest when the read began. Keys that are not confirmed expire, because a key may have been revoked.
+///
+/// The store may be restored from an older copy, which starts a newer era; the revisions after the copy are then
+/// assigned again. The same version in a newer era replaces the table. An older version confirms nothing, and neither
+/// does a table older than one that another router has named as in force before the read began: a configuration that
+/// has merely changed is in the next read.
 class route_controller final : public controller {
 public:
     explicit route_controller(const route_bounds&);
@@ -33,12 +38,28 @@
     time_point keysExpireAt() const;
 
 private:
+    /// The newest table that other routers name as in force.
+    struct named_table {
+        revision version {};
+        /// When this version was first heard of.
+        time_point heardAt = never;
+        time_point forgetAt = time_point::min();
+    };
+
     void observe(const routes_observed&, decision_context&);
+    void receiveNamed(const fleet_heartbeat&, decision_context&);
+    bool isStarting(time_point now) const;
+    bool isOlderThanNamed(const routes_observed&, time_point now) const;
 
     const route_bounds& m_bounds;
     std::shared_ptr<const route_table> m_table;
-    /// Start of the last read that returned the active table.
+    /// Era of the store in the last read that returned the active table.
+    source_era m_era {};
+    /// Start of the last read that confirmed the active table.
     time_point m_confirmedAt = time_point::min();
+    /// Start of the first read of this process.
+    time_point m_firstReadAt = never;
+    named_table m_named;
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/status_report.hpp
+++ b/src/kumquatbeam/controllers/status_report.hpp
@@ -63,6 +63,10 @@
     /// The newest revision refused since the active document was accepted; zero if none was.
     revision refusedDocument;
     revision members;
+    /// @{ Era of the published data, and the number of eras that the process has seen; see `source_era`.
+    source_era sourceEra;
+    std::uint64_t sourceErasSeen = 0;
+    /// @}
     bool isReady = false;
     bool isDraining = false;
     std::string strategy;
--- a/src/kumquatbeam/settings/endpoint_directory.hpp
+++ b/src/kumquatbeam/settings/endpoint_directory.hpp
@@ -33,6 +33,9 @@
     std::map<endpoint_id, announced_endpoint> endpoints;
     /// Failure domains whose endpoints get no further requests until the operators take the evacuation back.
     std::set<failure_domain_id> evacuatedDomains {};
+    /// Revision at which each announcement was last written, where the source states it. Endpoints write their
+    /// announcements again and again, so it grows while an endpoint lives.
+    std::map<endpoint_id, revision> revisions {};
 };
 
 } // namespace kumquatbeam
