Leave evacuated failure domains and cold endpoints alone as their limits require

Cause: an evacuated failure domain was used like any other, and a cold endpoint got as many requests as a warm one, which may crash it.

The directory controller holds the evacuated domains of the last whole read and leaves their endpoints out of the allowed ones, so that attempts of which no byte was sent are withdrawn. Cold endpoints are divided among up to six owners by rendezvous hashing over the routers that may exist. A row's load belongs to one incarnation; the end of a call at an earlier incarnation was subtracted from the new one before.

--- a/src/kumquatbeam/codec/endpoint_dialect.hpp
+++ b/src/kumquatbeam/codec/endpoint_dialect.hpp
@@ -39,10 +39,12 @@
     bool isLeaving = false;
     /// Until when the endpoint asks this router to send it nothing.
     std::optional<time_point> quietUntil {};
+    /// Until when the endpoint is cold, if it says that it is.
+    std::optional<time_point> coldUntil {};
     /// Set if the endpoint asks for quiet in a form that is not understood.
     std::optional<failure> problem {};
 
-    bool isEmpty() const { return !isLeaving && !quietUntil && !problem; }
+    bool isEmpty() const { return !isLeaving && !quietUntil && !coldUntil && !problem; }
 };
 
 /// Whether and how long a connection can be reused after an answer.
--- a/src/kumquatbeam/codec/metrics_text.cpp
+++ b/src/kumquatbeam/codec/metrics_text.cpp
@@ -2,6 +2,7 @@
 
 #include "kumquatbeam/codec/http_call.hpp"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <initializer_list>
@@ -162,6 +163,35 @@
         }
     }
 
+    /// A counter that has one sample for each pool.
+    struct cold_pool_counter {
+        std::string_view name;
+        std::string_view help;
+        std::uint64_t cold_pool_counts::*count;
+    };
+
+    constexpr cold_pool_counter coldPoolCounters[] = {
+        { "pool_sent_to_cold_total", "Requests sent to cold endpoints.", &cold_pool_counts::sentToCold },
+        { "pool_found_only_cold_total", "Calls that found only cold endpoints without allowance.",
+            &cold_pool_counts::foundOnlyCold },
+        { "pool_refused_evacuated_total", "Calls that found all usable endpoints in evacuated failure domains.",
+            &cold_pool_counts::refusedEvacuated },
+    };
+
+    void writeColdPools(metrics_writer& out, const status_report& report)
+    {
+        out.single("evacuated_domains", "gauge", "Failure domains that are evacuated.",
+            toDouble(report.evacuatedDomains.size()));
+        out.single("cold_endpoints", "gauge", "Endpoints that are cold.",
+            toDouble(std::count_if(report.endpoints.begin(), report.endpoints.end(),
+                [](const endpoint_state& row) { return row.isCold; })));
+        for (const auto& counter : coldPoolCounters) {
+            out.family(counter.name, "counter", counter.help);
+            for (const auto& row : report.coldPools)
+                out.sample({ { "pool", row.pool.value } }, toDouble(row.counts.*counter.count));
+        }
+    }
+
     void writeRouter(metrics_writer& out, const status_report& report)
     {
         out.single("ready", "gauge", "Whether the router has an accepted document.", report.isReady ? 1 : 0);
@@ -191,6 +221,7 @@
     writeRequests(out, report.metrics);
     writePools(out, report.metrics);
     writeAccounts(out, report);
+    writeColdPools(out, report);
     return out.takeText();
 }
 
--- a/src/kumquatbeam/codec/status_json.cpp
+++ b/src/kumquatbeam/codec/status_json.cpp
@@ -49,10 +49,17 @@
     }
     json["endpoints"] = nlohmann::ordered_json::array();
     for (const auto& row : report.endpoints) {
-        json["endpoints"].push_back(
-            { { "endpoint", row.endpoint.value }, { "pool", row.pool.value }, { "slots", row.slots.value },
-                { "running", row.running.value }, { "leaving", row.isLeaving }, { "ejected", row.isEjected } });
+        json["endpoints"].push_back({ { "endpoint", row.endpoint.value }, { "pool", row.pool.value },
+            { "slots", row.slots.value }, { "running", row.running.value }, { "leaving", row.isLeaving },
+            { "ejected", row.isEjected }, { "evacuated", row.isEvacuated }, { "cold", row.isCold } });
     }
+    json["evacuated_domains"] = nlohmann::ordered_json::array();
+    for (const auto& domain : report.evacuatedDomains)
+        json["evacuated_domains"].push_back(domain.value);
+    json["cold_pools"] = nlohmann::ordered_json::array();
+    for (const auto& row : report.coldPools)
+        json["cold_pools"].push_back({ { "pool", row.pool.value }, { "sent_to_cold", row.counts.sentToCold },
+            { "found_only_cold", row.counts.foundOnlyCold }, { "refused_evacuated", row.counts.refusedEvacuated } });
     json["peers"] = nlohmann::ordered_json::array();
     for (const auto& row : report.peers)
         json["peers"].push_back({ { "entry_vm", row.peer.value }, { "connected", row.isConnected },
--- a/src/kumquatbeam/codec/status_table.cpp
+++ b/src/kumquatbeam/codec/status_table.cpp
@@ -64,6 +64,8 @@
         std::int64_t running = 0;
         std::int64_t endpoints = 0;
         std::int64_t leaving = 0;
+        std::int64_t evacuated = 0;
+        std::int64_t cold = 0;
     };
 
     std::string formatEndpoints(const json& status)
@@ -75,12 +77,14 @@
             pool.slots += numberOf(row, "slots");
             pool.running += numberOf(row, "running");
             pool.leaving += row.at("leaving").get<bool>() ? 1 : 0;
+            pool.evacuated += row.value("evacuated", false) ? 1 : 0;
+            pool.cold += row.value("cold", false) ? 1 : 0;
         }
-        auto text
-            = absl::StrFormat("\n%-12s %9s %8s %8s %14s\n", "POOL", "ENDPOINTS", "LEAVING", "SLOTS", "RUNNING (here)");
+        auto text = absl::StrFormat("\n%-12s %9s %8s %9s %8s %8s %14s\n", "POOL", "ENDPOINTS", "LEAVING", "EVACUATED",
+            "COLD", "SLOTS", "RUNNING (here)");
         for (const auto& [name, pool] : pools)
-            absl::StrAppendFormat(
-                &text, "%-12s %9d %8d %8d %14d\n", name, pool.endpoints, pool.leaving, pool.slots, pool.running);
+            absl::StrAppendFormat(&text, "%-12s %9d %8d %9d %8d %8d %14d\n", name, pool.endpoints, pool.leaving,
+                pool.evacuated, pool.cold, pool.slots, pool.running);
         return text;
     }
 
--- a/src/kumquatbeam/controllers/decision_event.hpp
+++ b/src/kumquatbeam/controllers/decision_event.hpp
@@ -101,6 +101,8 @@
     bool isLeaving = false;
     /// Until when the endpoint asks this router to send it nothing.
     std::optional<time_point> quietUntil {};
+    /// Until when the endpoint is cold, if it says that it is.
+    std::optional<time_point> coldUntil {};
     /// Set if the endpoint asks for quiet in a form that is not understood.
     std::optional<failure> problem {};
 };
--- a/src/kumquatbeam/controllers/directory_controller.cpp
+++ b/src/kumquatbeam/controllers/directory_controller.cpp
@@ -3,6 +3,7 @@
 #include "kumquatbeam/types/wire_key.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace kumquatbeam {
 
@@ -118,6 +119,7 @@
     std::erase_if(m_leaving, [&](const auto& entry) { return entry.second.forgetAt <= context.now; });
     bool hasChanged = applyAnnouncements(*observed.directory, context);
     hasChanged |= dropMissing(*observed.directory, observed.readStartedAt, context);
+    hasChanged |= applyEvacuations(*observed.directory, context);
     if (hasChanged)
         publishChange(context);
 }
@@ -148,6 +150,9 @@
         if (known != m_endpoints.end() && known->second.incarnation == announced.incarnation)
             merged.isDraining |= known->second.isDraining;
         merged.isDraining |= isLeaving(id, merged.incarnation);
+        // A cold endpoint rewrites its cold time often; another time alone is no change of the endpoint.
+        if (known != m_endpoints.end())
+            known->second.coldUntil = merged.coldUntil;
         if (known != m_endpoints.end() && known->second == merged)
             continue;
         m_endpoints.insert_or_assign(id, merged);
@@ -178,11 +183,42 @@
     }) > 0;
 }
 
+bool directory_controller::applyEvacuations(const endpoint_directory& directory, decision_context& context)
+{
+    std::erase_if(
+        m_evacuationEnds, [&](const auto& entry) { return entry.second + evacuationEndRetention <= context.now; });
+    if (directory.evacuatedDomains == m_evacuated)
+        return false;
+    const auto before = std::exchange(m_evacuated, directory.evacuatedDomains);
+    for (const auto& domain : m_evacuated) {
+        if (!before.contains(domain))
+            context.log.changed({ name(), "evacuated", "domain=" + domain.value });
+    }
+    for (const auto& domain : before) {
+        if (m_evacuated.contains(domain))
+            continue;
+        m_evacuationEnds[domain] = context.now;
+        context.log.changed({ name(), "evacuation-ended", "domain=" + domain.value });
+    }
+    return true;
+}
+
+time_point directory_controller::evacuationEndedAt(const failure_domain_id& domain) const
+{
+    const auto found = m_evacuationEnds.find(domain);
+    return found == m_evacuationEnds.end() ? time_point::min() : found->second;
+}
+
+void directory_controller::describe(status_report& report) const
+{
+    report.evacuatedDomains.assign(m_evacuated.begin(), m_evacuated.end());
+}
+
 void directory_controller::publishChange(decision_context& context)
 {
     set_allowed_endpoints kept;
     for (const auto& [id, endpoint] : m_endpoints) {
-        if (!endpoint.isDraining)
+        if (!endpoint.isDraining && !isEvacuated(endpoint.domain))
             kept.endpoints.push_back({ id, endpoint.address, endpoint.port, endpoint.incarnation });
     }
     context.commands.send(endpoint_command { std::move(kept) });
--- a/src/kumquatbeam/controllers/directory_controller.hpp
+++ b/src/kumquatbeam/controllers/directory_controller.hpp
@@ -7,12 +7,13 @@
 
 #include <chrono>
 #include <map>
+#include <set>
 #include <string_view>
 #include <vector>
 
 namespace kumquatbeam {
 
-/// Owns the known state of the announced endpoints.
+/// Owns the known state of the announced endpoints and of the evacuated failure domains.
 ///
 /// Draining is final for one incarnation of an endpoint, whichever announcement is read later. It is learned from the
 /// announcements, from what the endpoint says in its answers, and from other routers. Announcements expire while their
@@ -32,12 +33,16 @@
     /// Time from the decision to drop an endpoint until the last call decided before has been sent or withdrawn.
     static constexpr std::chrono::milliseconds withdrawalMargin { 200 };
 
+    /// Time for which the end of an evacuation is remembered. Longer than any endpoint is cold after a start.
+    static constexpr std::chrono::hours evacuationEndRetention { 1 };
+
     explicit directory_controller(const route_bounds&);
 
     std::string_view name() const override { return "directory"; }
     void handle(const decision_event&, decision_context&) override;
     time_point nextDeadline() const override;
     void onDeadline(decision_context&) override;
+    void describe(status_report&) const override;
 
     /// All endpoints that are announced or kept after an outage.
     const std::map<endpoint_id, announced_endpoint>& endpoints() const { return m_endpoints; }
@@ -48,6 +53,12 @@
     /// The endpoint, or null if it is gone.
     const announced_endpoint* find(const endpoint_id&) const;
 
+    /// Whether the endpoints of the failure domain get no further requests.
+    bool isEvacuated(const failure_domain_id& domain) const { return m_evacuated.contains(domain); }
+
+    /// When the last evacuation of the failure domain ended; `time_point::min()` if none has ended lately.
+    time_point evacuationEndedAt(const failure_domain_id&) const;
+
 private:
     /// An incarnation that is leaving.
     struct leaving_incarnation {
@@ -61,6 +72,8 @@
     bool isLeaving(const endpoint_id&, std::int64_t incarnation) const;
     time_point keepMissingUntil(const directory_observed&) const;
     bool applyAnnouncements(const endpoint_directory&, decision_context&);
+    /// Replaces the evacuated failure domains by those of a read; returns whether they have changed.
+    bool applyEvacuations(const endpoint_directory&, decision_context&);
     bool dropMissing(const endpoint_directory&, time_point readStartedAt, decision_context&);
     void publishChange(decision_context&);
 
@@ -73,6 +86,8 @@
     time_point m_keepMissingUntil = time_point::min();
     /// Endpoints that are missing but kept, and the time at which each is dropped.
     std::map<endpoint_id, time_point> m_missing;
+    std::set<failure_domain_id> m_evacuated;
+    std::map<failure_domain_id, time_point> m_evacuationEnds;
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -3,6 +3,7 @@
 #include "kumquatbeam/filters/request_filter.hpp"
 #include "kumquatbeam/types/invariant.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace kumquatbeam {
@@ -39,11 +40,17 @@
 {
     const event_handlers handlers {
         [&](const routes_changed&) {
-            refreshPools();
+            refreshPools(context);
             forgetIdleRoutes(context.now);
         },
+        // The directory controller has handled the event before.
+        [&](const directory_observed& observed) {
+            for (auto& [id, pool] : m_pools)
+                pool.applyRead(*observed.directory, observed.readStartedAt);
+            refreshPools(context);
+        },
         [&](const directory_changed&) {
-            refreshPools();
+            refreshPools(context);
             for (auto& [id, pool] : m_pools)
                 pool.clearReplaced();
         },
@@ -52,7 +59,11 @@
                 pool.updatePeerLoad();
         },
         [&](const request_admitted& admitted) { admit(admitted.context, context); },
-        [&](const request_refused& refused) { recordRequested(refused.context, context.now); },
+        [&](const request_refused& refused) {
+            recordRequested(refused.context, context.now);
+            if (refused.problem == failure_kind::NoEndpoint || refused.problem == failure_kind::PoolBusy)
+                recordUnplaced(refused.context, context.now);
+        },
         [&](const request_abandoned& abandoned) { abandon(abandoned.id, context); },
         [&](const answer_begun& begun) { recordFirstByte(begun.id, context.now); },
         [&](const attempt_ended& ended) { finishAttempt(ended, context); },
@@ -63,11 +74,7 @@
 
 void dispatch_controller::describe(status_report& report) const
 {
-    for (const auto& [id, pool] : m_pools) {
-        for (const auto& row : pool.endpoints())
-            report.endpoints.push_back({ row.endpoint, id, row.slots,
-                slot_count { static_cast<std::int32_t>(row.running) }, !row.isUsable, pool.isEjected(row.endpoint) });
-    }
+    describePools(m_pools, report);
 }
 
 void dispatch_controller::addLoad(fleet_heartbeat& heartbeat, time_point now) const
@@ -75,15 +82,7 @@
     if (m_routes.current())
         heartbeat.routes = m_routes.current()->revisionNumber;
     m_directory.addLeaving(heartbeat);
-    for (const auto& [id, pool] : m_pools) {
-        for (const auto& row : pool.endpoints()) {
-            if (row.running > 0)
-                heartbeat.endpoints.push_back({ row.key, static_cast<std::uint32_t>(row.running), row.prefillTokens });
-        }
-        for (const auto& [account, rates] : pool.rates(now))
-            heartbeat.accounts.push_back({ account, { static_cast<std::int64_t>(rates.requested) },
-                { static_cast<std::int64_t>(rates.admitted) } });
-    }
+    addPoolLoad(m_pools, heartbeat, now);
 }
 
 std::optional<placement> dispatch_controller::choose(const request_context& request, time_point now) const
@@ -110,7 +109,7 @@
     return found == m_durations.end() ? std::chrono::milliseconds(0) : found->second.value(now);
 }
 
-void dispatch_controller::refreshPools()
+void dispatch_controller::refreshPools(decision_context& context)
 {
     const auto& table = m_routes.current();
     if (!table)
@@ -119,8 +118,16 @@
     const shared_retry_budget::limits limits { m_bounds.retryRatio, m_bounds.retryAllowance, m_bounds.retryWindow };
     for (const auto& [id, description] : table->pools) {
         auto& pool = m_pools.try_emplace(id, description, limits, m_fleet).first->second;
-        pool.refresh(*table, m_directory.endpoints());
+        pool.refresh(*table, m_bounds, m_directory);
+        pool.updatePeerLoad();
     }
+    logColdChanges(context);
+}
+
+void dispatch_controller::recordUnplaced(const request_context& request, time_point now)
+{
+    if (auto* pool = request.matched ? poolOf(request) : nullptr)
+        pool->recordUnplaced(now);
 }
 
 void dispatch_controller::forgetIdleRoutes(time_point now)
@@ -134,7 +141,13 @@
         context.log.failed(noticed.endpoint.value, *noticed.problem);
     const auto* announced = m_directory.find(noticed.endpoint);
     const auto pool = announced ? m_pools.find(announced->pool) : m_pools.end();
-    if (!noticed.quietUntil || pool == m_pools.end())
+    if (pool == m_pools.end())
+        return;
+    if (noticed.coldUntil) {
+        pool->second.recordCold(noticed.endpoint, noticed.incarnation, *noticed.coldUntil);
+        logColdChanges(context);
+    }
+    if (!noticed.quietUntil)
         return;
     if (pool->second.recordQuiet(noticed.endpoint, noticed.incarnation, *noticed.quietUntil))
         context.log.changed({ name(), "quiet",
@@ -144,7 +157,9 @@
 call_reply dispatch_controller::notRunReply(const running_call& call, failure problem, time_point now) const
 {
     auto reply = notRun(std::move(problem));
-    reply.retryAt = quietUntil(call.context.matched->pool, now);
+    const auto pool = m_pools.find(call.context.matched->pool);
+    if (pool != m_pools.end())
+        reply.retryAt = pool->second.retryAt(call.context.deadline, now);
     return reply;
 }
 
@@ -155,6 +170,7 @@
         pool->recordAdmitted(request, context.now);
     running_call call { .context = request, .arrivedAt = context.now, .endpoint = {}, .prefillTokens = {} };
     if (!start(call, context)) {
+        recordUnplaced(request, context.now);
         auto reply = notRunReply(call, { failure_kind::NoEndpoint }, context.now);
         end(std::move(call), std::move(reply), { .id = request.id }, context);
     }
@@ -212,6 +228,7 @@
         .wait = choice->wait,
         .basis = m_routes.basis(context.now) });
     call.endpoint = choice->endpoint;
+    call.incarnation = announced->incarnation;
     call.prefillTokens = choice->prefillTokens;
     const auto id = request.id;
     m_running.emplace(id, std::move(call));
@@ -228,7 +245,7 @@
     call.firstByteAt = now;
     const auto prefilled = std::exchange(call.prefillTokens, token_count {});
     if (auto* pool = poolOf(call.context))
-        pool->recordPrefilled(call.endpoint, prefilled);
+        pool->recordPrefilled(call.endpoint, call.incarnation, prefilled);
 }
 
 void dispatch_controller::abandon(request_id id, decision_context& context)
@@ -246,9 +263,11 @@
     KUMQUATBEAM_INVARIANT(!node.empty());
     auto call = std::move(node.mapped());
     if (auto* pool = poolOf(call.context)) {
-        pool->recordEnded(call.endpoint, std::exchange(call.prefillTokens, token_count {}));
-        pool->recordOutcome(ended, context.now);
+        pool->recordEnded(call.endpoint, call.incarnation, std::exchange(call.prefillTokens, token_count {}));
+        pool->recordOutcome(ended, call.incarnation, context.now);
     }
+    if (ended.problem)
+        logColdChanges(context);
     applyVerdict(std::move(call), ended, context);
 }
 
@@ -318,6 +337,7 @@
     history.tried.insert(ended.endpoint);
     if (start(call, context))
         return;
+    recordUnplaced(call.context, context.now);
     if (ended.outcome == attempt_outcome::Completed) {
         answer(std::move(call), ended, context);
         return;
--- a/src/kumquatbeam/controllers/dispatch_controller.hpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.hpp
@@ -2,8 +2,8 @@
 
 #include "kumquatbeam/controllers/controller.hpp"
 #include "kumquatbeam/controllers/directory_controller.hpp"
-#include "kumquatbeam/controllers/dispatch_pool.hpp"
 #include "kumquatbeam/controllers/fleet_controller.hpp"
+#include "kumquatbeam/controllers/pool_report.hpp"
 #include "kumquatbeam/controllers/route_controller.hpp"
 #include "kumquatbeam/decisions/attempt_policy.hpp"
 #include "kumquatbeam/decisions/longest_duration.hpp"
@@ -25,6 +25,8 @@
 
     std::string_view name() const override { return "dispatch"; }
     void handle(const decision_event&, decision_context&) override;
+    time_point nextDeadline() const override { return m_nextWarmAt; }
+    void onDeadline(decision_context& context) override { logColdChanges(context); }
     void describe(status_report&) const override;
 
     void addLoad(fleet_heartbeat&, time_point now) const override;
@@ -57,6 +59,8 @@
         request_context context;
         time_point arrivedAt;
         endpoint_id endpoint;
+        /// Incarnation of the endpoint, to which the call's load belongs.
+        std::int64_t incarnation = 0;
         /// Prompt tokens that the endpoint still has to prefill before the first event.
         token_count prefillTokens;
         call_history history {};
@@ -64,7 +68,13 @@
         bool isAbandoned = false;
     };
 
-    void refreshPools();
+    void refreshPools(decision_context&);
+    /// Logs the endpoints that have become cold or warm, and sets the time of the next such change.
+    void logColdChanges(decision_context& context)
+    {
+        m_nextWarmAt = kumquatbeam::logColdChanges(m_pools, name(), context);
+    }
+    void recordUnplaced(const request_context&, time_point now);
     /// Bounds the memory for durations as routes come and go.
     void forgetIdleRoutes(time_point now);
     void recordNotice(const endpoint_noticed&, decision_context&);
@@ -91,9 +101,10 @@
     const route_controller& m_routes;
     const directory_controller& m_directory;
     const fleet_controller& m_fleet;
-    std::map<pool_id, dispatch_pool> m_pools;
+    dispatch_pools m_pools;
     std::unordered_map<request_id, running_call> m_running;
     std::map<route_id, longest_duration> m_durations;
+    time_point m_nextWarmAt = never;
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/dispatch_pool.hpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.hpp
@@ -2,10 +2,14 @@
 
 #include "kumquatbeam/controllers/directory_controller.hpp"
 #include "kumquatbeam/controllers/fleet_controller.hpp"
+#include "kumquatbeam/controllers/metrics_report.hpp"
 #include "kumquatbeam/decisions/admission/account_shares.hpp"
 #include "kumquatbeam/decisions/endpoint_health.hpp"
+#include "kumquatbeam/decisions/placement/cold_allowance.hpp"
+#include "kumquatbeam/decisions/placement/cold_endpoints.hpp"
 #include "kumquatbeam/decisions/placement/placement_strategy.hpp"
 #include "kumquatbeam/decisions/shared_retry_budget.hpp"
+#include "kumquatbeam/settings/route_bounds.hpp"
 #include "kumquatbeam/settings/route_table.hpp"
 #include "kumquatbeam/types/request_context.hpp"
 
@@ -13,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace kumquatbeam {
@@ -25,12 +30,24 @@
     /// shows which endpoint has the address.
     static constexpr std::chrono::seconds replacedCooldown { 3 };
 
+    /// @{ Delay after which a caller may retry if all endpoints are evacuated, which takes minutes; and the longest
+    /// delay as a fraction of the time until the caller's deadline.
+    static constexpr std::chrono::seconds evacuatedRetryDelay { 1 };
+    static constexpr double retryDelayFraction = 0.3;
+    /// @}
+
     dispatch_pool(const routed_pool&, const shared_retry_budget::limits&, const fleet_controller&);
 
-    /// Updates the endpoints from the announced ones; endpoints that remain keep their load.
-    void refresh(const route_table&, const std::map<endpoint_id, announced_endpoint>&);
+    /// Updates the endpoints from the announced ones; incarnations that remain keep their load.
+    void refresh(const route_table&, const route_bounds&, const directory_controller&);
+
+    /// Lets a read of the directory supersede failures from before it. `refresh` must follow.
+    void applyRead(const endpoint_directory& directory, time_point readStartedAt)
+    {
+        m_cold.applyRead(directory, readStartedAt);
+    }
 
-    /// Updates the load that the other routers have placed on the endpoints.
+    /// Updates the other routers and the load that they have placed on the endpoints.
     void updatePeerLoad();
 
     /// Makes endpoints whose address was taken by another one usable again, after the directory has changed.
@@ -46,7 +63,34 @@
     /// When the first endpoint may be used again, if all endpoints that could be used otherwise have asked for quiet.
     std::optional<time_point> quietUntil(time_point now) const;
 
-    /// Whether any endpoint is usable, whatever its load.
+    /// Records that an incarnation of an endpoint has said that it is cold until then.
+    void recordCold(const endpoint_id&, std::int64_t incarnation, time_point until);
+
+    /// The endpoints that have become cold or warm since the last call, and whether each is cold.
+    std::vector<std::pair<endpoint_id, bool>> takeColdChanges(time_point now);
+
+    /// When the next cold endpoint becomes warm.
+    time_point nextWarmAt(time_point now) const;
+
+    /// Whether the endpoint was cold at the last call of `takeColdChanges`.
+    bool isCold(const endpoint_id& endpoint) const { return m_knownCold.contains(endpoint); }
+
+    /// Whether the endpoint's failure domain is evacuated.
+    bool isEvacuated(const endpoint_id& endpoint) const { return m_evacuated.contains(endpoint); }
+
+    /// Whether every endpoint that could be used otherwise is in an evacuated failure domain.
+    bool isWhollyEvacuated() const;
+
+    /// When a caller whose request was not run may retry it, if the pool's endpoints give a reason to wait: they are
+    /// all evacuated or have asked for quiet.
+    std::optional<time_point> retryAt(time_point deadline, time_point now) const;
+
+    /// Counts a call for which no endpoint was found.
+    void recordUnplaced(time_point now);
+
+    const cold_pool_counts& counts() const { return m_counts; }
+
+    /// Whether any endpoint is usable, whatever its load and its allowance while it is cold.
     bool hasUsableEndpoint(time_point now) const;
 
     /// The endpoint for a request that is sent now, except those already tried; nothing if none can start it in time.
@@ -64,14 +108,15 @@
     /// Withdraws one retry from the budget; returns false if the budget is exhausted.
     bool tryWithdrawRetry(time_point now) { return m_retries.tryWithdraw(m_fleet.maxServingRouters(), now); }
 
-    /// @{ Record that a call was placed on an endpoint, that its prompt was prefilled, and that it ended.
+    /// @{ Record that a call was placed on an endpoint, that its prompt was prefilled, and that it ended. The load
+    /// belongs to the incarnation that got the call.
     void recordPlaced(const prompt_metadata&, const placement&, time_point now);
-    void recordPrefilled(const endpoint_id&, token_count prefilled);
-    void recordEnded(const endpoint_id&, token_count pendingPrefill);
+    void recordPrefilled(const endpoint_id&, std::int64_t incarnation, token_count prefilled);
+    void recordEnded(const endpoint_id&, std::int64_t incarnation, token_count pendingPrefill);
     /// @}
 
-    /// Updates the endpoint's health with the outcome of an attempt.
-    void recordOutcome(const attempt_ended&, time_point now);
+    /// Updates the endpoint's health with the outcome of an attempt at one of its incarnations.
+    void recordOutcome(const attempt_ended&, std::int64_t incarnation, time_point now);
 
 private:
     /// A request of an endpoint to be left alone.
@@ -80,7 +125,11 @@
         time_point until {};
     };
 
-    endpoint_view* find(const endpoint_id&);
+    void setColdLimit(const routed_pool&, const route_bounds&);
+    endpoint_view* find(const endpoint_id&, std::int64_t incarnation);
+    /// Whether every endpoint that could be used otherwise is cold, and this router may send nothing to it now.
+    bool hasOnlyCold(time_point now) const;
+    bool mayUseCold(const endpoint_view&, time_point now) const;
     bool mayUseWhenNotQuiet(const endpoint_view&, time_point now) const;
     bool isQuiet(const endpoint_id&, time_point now) const;
     bool mayUse(const endpoint_view&, time_point now) const;
@@ -90,12 +139,23 @@
     const fleet_controller& m_fleet;
     std::unique_ptr<placement_strategy> m_strategy;
     std::vector<endpoint_view> m_endpoints;
+    /// Incarnations that are no longer announced, with calls that still run there.
+    std::vector<endpoint_view> m_formerEndpoints;
     endpoint_health m_health;
     shared_retry_budget m_retries;
     account_shares m_shares;
     /// Endpoints at whose address another one has answered, and when each may be used again.
     std::map<endpoint_id, time_point> m_replaced;
     std::map<endpoint_id, quiet_period> m_quiet;
+    /// Endpoints in evacuated failure domains.
+    std::set<endpoint_id> m_evacuated;
+    cold_endpoints m_cold;
+    cold_allowance m_allowance;
+    bool m_hasColdLimit = false;
+    /// Version of the routers that the allowance is divided among.
+    std::optional<std::uint64_t> m_membersVersion;
+    std::set<endpoint_id> m_knownCold;
+    cold_pool_counts m_counts;
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/fleet_controller.cpp
+++ b/src/kumquatbeam/controllers/fleet_controller.cpp
@@ -55,6 +55,8 @@
 
 void fleet_controller::onDeadline(decision_context& context)
 {
+    if (m_membersKnownAt == never || context.now > m_nextHeartbeatAt + longestPause)
+        m_membersKnownAt = context.now + discoveryTime;
     expire(context);
     sendHeartbeats(context);
 }
@@ -79,11 +81,22 @@
     return 1 + std::max<std::int64_t>(others, static_cast<std::int64_t>(m_seeds.size()));
 }
 
+std::vector<entry_vm_id> fleet_controller::otherRouters() const
+{
+    std::vector<entry_vm_id> routers;
+    for (const auto& [id, known] : m_members)
+        routers.push_back(id);
+    return routers;
+}
+
 void fleet_controller::receiveHeartbeat(const fleet_heartbeat& heartbeat, decision_context& context)
 {
     if (heartbeat.from == m_settings.self)
         return;
-    auto& known = m_members[heartbeat.from];
+    const auto [found, isNew] = m_members.try_emplace(heartbeat.from);
+    auto& known = found->second;
+    if (isNew)
+        ++m_membersVersion;
     const bool isNewIncarnation = known.incarnation != heartbeat.incarnation;
     if (!isNewIncarnation && heartbeat.sequence <= known.sequence)
         return;
@@ -119,11 +132,17 @@
 
 void fleet_controller::addKnownRouter(const known_router& router, decision_context& context)
 {
-    if (router.id == m_settings.self || m_members.contains(router.id))
+    if (router.id == m_settings.self)
+        return;
+    const auto removeAt = context.now + silentRouterRetention;
+    const auto [found, isNew]
+        = m_members.try_emplace(router.id, member { .id = router.id, .address = router.address, .removeAt = removeAt });
+    // A router that others hear exists, even if this one is cut off from it.
+    found->second.removeAt = std::max(found->second.removeAt, removeAt);
+    if (!isNew)
         return;
-    m_members.emplace(router.id,
-        member { .id = router.id, .address = router.address, .removeAt = context.now + silentRouterRetention });
     m_havePeersChanged = true;
+    ++m_membersVersion;
 }
 
 void fleet_controller::countLoad(member& known, std::int64_t sign)
@@ -159,7 +178,11 @@
     }
     const auto removed
         = std::erase_if(m_members, [&](const auto& entry) { return context.now >= entry.second.removeAt; });
-    m_havePeersChanged |= removed > 0;
+    if (removed == 0)
+        return;
+    m_havePeersChanged = true;
+    ++m_membersVersion;
+    context.raised.emplace_back(fleet_load_changed {});
 }
 
 void fleet_controller::sendHeartbeats(decision_context& context)
--- a/src/kumquatbeam/controllers/fleet_controller.hpp
+++ b/src/kumquatbeam/controllers/fleet_controller.hpp
@@ -45,6 +45,14 @@
     /// domains.
     static constexpr std::chrono::seconds silentRouterRetention { 60 };
 
+    /// Time after the start until a router with seeds has heard of all others. The lists in heartbeats carry the
+    /// members from router to router within a few periods.
+    static constexpr std::chrono::seconds discoveryTime { 6 };
+
+    /// Delay of a heartbeat after which the process counts as paused. What it knows of the members may be outdated, so
+    /// it discovers them again.
+    static constexpr std::chrono::seconds longestPause { 30 };
+
     /// Load that other routers have placed on one endpoint.
     struct load {
         std::int64_t running = 0;
@@ -71,6 +79,17 @@
     /// Upper bound of the number of serving routers, including this one and silent ones that may only be cut off.
     std::int64_t maxServingRouters() const;
 
+    /// Every router that may exist, except this one: all that were heard or listed within the retention.
+    std::vector<entry_vm_id> otherRouters() const;
+
+    /// Changes with `otherRouters`.
+    std::uint64_t membersVersion() const { return m_membersVersion; }
+
+    /// Whether this router has had the time to hear of all others since its start.
+    bool knowsMembers(time_point now) const { return m_seeds.empty() || now >= m_membersKnownAt; }
+
+    const entry_vm_id& self() const { return m_settings.self; }
+
 private:
     struct member {
         entry_vm_id id;
@@ -107,6 +126,9 @@
     account_shares::rate_map m_peerRates;
     std::uint64_t m_sequence = 0;
     time_point m_nextHeartbeatAt {};
+    /// End of the discovery time; `never` until the first heartbeat.
+    time_point m_membersKnownAt = never;
+    std::uint64_t m_membersVersion = 0;
     bool m_isLeaving = false;
     bool m_havePeersChanged = true;
 };
--- a/src/kumquatbeam/controllers/metrics_report.hpp
+++ b/src/kumquatbeam/controllers/metrics_report.hpp
@@ -63,6 +63,16 @@
     /// @}
 };
 
+/// Decisions of a pool about cold endpoints and evacuated failure domains since the start of the process.
+struct cold_pool_counts {
+    /// Requests sent to cold endpoints.
+    std::uint64_t sentToCold = 0;
+    /// Calls that found only cold endpoints to which this router could send nothing then.
+    std::uint64_t foundOnlyCold = 0;
+    /// Calls that found all usable endpoints in evacuated failure domains.
+    std::uint64_t refusedEvacuated = 0;
+};
+
 /// Counts and distributions of the metrics controller since the start of the process.
 struct metrics_report {
     std::vector<outcome_count> outcomes;
--- a/src/kumquatbeam/controllers/status_report.hpp
+++ b/src/kumquatbeam/controllers/status_report.hpp
@@ -30,6 +30,15 @@
     bool isLeaving = false;
     /// Whether the endpoint is ejected because of failures, or on probation after an ejection.
     bool isEjected = false;
+    /// Whether the endpoint's failure domain is evacuated.
+    bool isEvacuated = false;
+    bool isCold = false;
+};
+
+/// Counts of the decisions about cold endpoints and evacuated failure domains in one pool.
+struct cold_pool_status {
+    pool_id pool;
+    cold_pool_counts counts;
 };
 
 /// State of one peer as known to this router.
@@ -75,6 +84,8 @@
     std::vector<endpoint_state> endpoints;
     std::vector<peer_status> peers;
     std::vector<ring_status> rings;
+    std::vector<failure_domain_id> evacuatedDomains;
+    std::vector<cold_pool_status> coldPools;
     metrics_report metrics;
 };
 
--- a/src/kumquatbeam/decisions/placement/prefix_affinity.cpp
+++ b/src/kumquatbeam/decisions/placement/prefix_affinity.cpp
@@ -1,5 +1,7 @@
 #include "kumquatbeam/decisions/placement/prefix_affinity.hpp"
 
+#include "kumquatbeam/decisions/placement/mix_bits.hpp"
+
 #include <algorithm>
 #include <string>
 #include <vector>
@@ -16,19 +18,6 @@
         return prompt.parts[prompt.parts.size() - 2].id;
     }
 
-    /// The finalizer of MurmurHash3: every input bit affects every output bit.
-    std::uint64_t mixBits(std::uint64_t word)
-    {
-        constexpr std::uint64_t first = 0xff51afd7ed558ccdULL;
-        constexpr std::uint64_t second = 0xc4ceb9fe1a85ec53ULL;
-        constexpr unsigned shift = 33;
-        word ^= word >> shift;
-        word *= first;
-        word ^= word >> shift;
-        word *= second;
-        return word ^ (word >> shift);
-    }
-
     /// Rank of an engine for a part of a prompt. Every router computes the same rank, and each part orders the engines
     /// differently.
     std::uint64_t rankOf(const endpoint_view& row, prompt_part_id part)
--- a/src/kumquatbeam/sessions/endpoint_session.cpp
+++ b/src/kumquatbeam/sessions/endpoint_session.cpp
@@ -190,7 +190,7 @@
     auto notice = m_delegate.dialect().noticeOf(m_parser->get(), clock::now());
     if (!notice.isEmpty())
         m_delegate.notice({ m_attempt.to.endpoint, m_attempt.to.incarnation, notice.isLeaving, notice.quietUntil,
-            std::move(notice.problem) });
+            notice.coldUntil, std::move(notice.problem) });
 }
 
 void endpoint_session::handleHead()
--- a/tests/unit/metrics.tests.cpp
+++ b/tests/unit/metrics.tests.cpp
@@ -141,3 +141,21 @@
     report.metrics.floods.push_back({ { "a\"b\\c" }, 1 });
     CHECK(has(encodeMetrics(report), R"(kumquatbeam_refused_by_flood_total{account="a\"b\\c"} 1)"));
 }
+
+TEST_CASE("Evacuations and cold endpoints are in the metrics and in the status [metrics]")
+{
+    status_report report;
+    report.evacuatedDomains.push_back({ "north" });
+    report.endpoints.push_back({ .endpoint = { "e1" }, .pool = { "desk" }, .isEvacuated = true, .isCold = true });
+    report.coldPools.push_back({ { "desk" }, { .sentToCold = 3, .foundOnlyCold = 2, .refusedEvacuated = 1 } });
+    const auto metrics = encodeMetrics(report);
+    CHECK(has(metrics, "kumquatbeam_evacuated_domains 1"));
+    CHECK(has(metrics, "kumquatbeam_cold_endpoints 1"));
+    CHECK(has(metrics, "kumquatbeam_pool_sent_to_cold_total{pool=\"desk\"} 3"));
+    CHECK(has(metrics, "kumquatbeam_pool_found_only_cold_total{pool=\"desk\"} 2"));
+    CHECK(has(metrics, "kumquatbeam_pool_refused_evacuated_total{pool=\"desk\"} 1"));
+    const auto status = encodeStatus(report);
+    CHECK(status.find("\"evacuated_domains\"") != std::string::npos);
+    CHECK(status.find("\"found_only_cold\": 2") != std::string::npos);
+    CHECK(formatStatusTable(status).ok());
+}
--- a/tests/unit/routing_fixture.hpp
+++ b/tests/unit/routing_fixture.hpp
@@ -82,6 +82,7 @@
         const std::vector<announced_endpoint>& endpoints, std::optional<time_point> outageEndedAfter = std::nullopt)
     {
         endpoint_directory directory;
+        directory.evacuatedDomains = evacuated;
         for (const auto& announced : endpoints)
             directory.endpoints.emplace(announced.id, announced);
         handle(directory_observed {
@@ -145,6 +146,8 @@
 
     std::size_t attempts() const { return commands.all<start_attempt>().size(); }
 
+    /// Failure domains that the next announcements show as evacuated.
+    std::set<failure_domain_id> evacuated {};
     recorded_commands commands;
     recorded_log log;
     time_point now { std::chrono::hours(1) };
