--- a/src/kumquatbeam/controllers/directory_controller.cpp
+++ b/src/kumquatbeam/controllers/directory_controller.cpp
@@ -3,6 +3,7 @@
 #include "kumquatbeam/types/wire_key.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace kumquatbeam {
 
@@ -106,6 +107,8 @@
 {
     report.sourceEra = m_era;
     report.sourceErasSeen = m_erasSeen;
+    for (const auto& [domain, until] : m_evacuatedUntil)
+        report.evacuatedDomains.push_back(domain);
 }
 
 const announced_endpoint* directory_controller::find(const endpoint_id& id) const
@@ -175,9 +178,12 @@
 
 bool directory_controller::endEvacuations(decision_context& context)
 {
+    std::erase_if(
+        m_evacuationEnds, [&](const auto& entry) { return entry.second + evacuationEndRetention <= context.now; });
     return std::erase_if(m_evacuatedUntil, [&](const auto& entry) {
         if (entry.second > context.now)
             return false;
+        m_evacuationEnds[entry.first] = context.now;
         context.log.changed({ name(), "evacuation-ended", entry.first.value });
         return true;
     }) > 0;
@@ -213,6 +219,9 @@
         merged.isDraining |= isLeaving(id, merged.incarnation);
         if (known == m_endpoints.end())
             merged.isDraining |= m_departed.release(announced);
+        // A cold endpoint rewrites its cold time often; another time alone is no change of the endpoint.
+        if (known != m_endpoints.end())
+            known->second.coldUntil = merged.coldUntil;
         if (known != m_endpoints.end() && known->second == merged)
             continue;
         m_endpoints.insert_or_assign(id, merged);
@@ -244,11 +253,17 @@
     }) > 0;
 }
 
+time_point directory_controller::evacuationEndedAt(const failure_domain_id& domain) const
+{
+    const auto found = m_evacuationEnds.find(domain);
+    return found == m_evacuationEnds.end() ? time_point::min() : found->second;
+}
+
 void directory_controller::publishChange(decision_context& context)
 {
     set_allowed_endpoints kept;
     for (const auto& [id, endpoint] : m_endpoints) {
-        if (!endpoint.isDraining)
+        if (!endpoint.isDraining && !isEvacuated(endpoint.domain))
             kept.endpoints.push_back({ id, endpoint.address, endpoint.port, endpoint.incarnation });
     }
     context.commands.send(endpoint_command { std::move(kept) });
--- a/src/kumquatbeam/controllers/directory_controller.hpp
+++ b/src/kumquatbeam/controllers/directory_controller.hpp
@@ -8,12 +8,13 @@
 
 #include <chrono>
 #include <map>
+#include <set>
 #include <string_view>
 #include <vector>
 
 namespace kumquatbeam {
 
-/// Owns the known state of the announced endpoints.
+/// Owns the known state of the announced endpoints and of the evacuated failure domains.
 ///
 /// Draining is final for one incarnation of an endpoint, whichever announcement is read later. It is learned from the
 /// announcements, from what the endpoint says in its answers, and from other routers. Announcements expire while their
@@ -36,6 +37,9 @@
     /// Time from the decision to drop an endpoint until the last call decided before has been sent or withdrawn.
     static constexpr std::chrono::milliseconds withdrawalMargin { 200 };
 
+    /// Time for which the end of an evacuation is remembered. Longer than any endpoint is cold after a start.
+    static constexpr std::chrono::hours evacuationEndRetention { 1 };
+
     explicit directory_controller(const route_bounds&);
 
     std::string_view name() const override { return "directory"; }
@@ -56,6 +60,10 @@
     /// The endpoint, or null if it is gone.
     const announced_endpoint* find(const endpoint_id&) const;
 
+
+    /// When the last evacuation of the failure domain ended; `time_point::min()` if none has ended lately.
+    time_point evacuationEndedAt(const failure_domain_id&) const;
+
 private:
     /// An incarnation that is leaving.
     struct leaving_incarnation {
@@ -91,6 +99,7 @@
     time_point m_keepMissingUntil = time_point::min();
     /// Endpoints that are missing but kept, and the time at which each is dropped.
     std::map<endpoint_id, time_point> m_missing;
+    std::map<failure_domain_id, time_point> m_evacuationEnds;
 };
 
 } // namespace kumquatbeam
