Learn the prefill rate of each engine from its answers

Cause: every engine was assumed to prefill 50 prompt tokens per millisecond. Engines in service reach 93 to 157, differ by factors of 0.7 to 1.7, and are slow at times, so waits were misjudged and requests rejected that would have been in time.

Before: one constant rate; the load in an answer's head was decoded and not used, and a fourth figure made it unreadable. After: `endpoint_speed` estimates work over time for each incarnation of an engine, and `dispatch_pool` sets the rows' rate from it. The head of a streamed answer carries the reported load to the decisions. A reported slowdown divides the rate for one second. Plain services count reported waiting calls and slowdowns for one second. Calls at an earlier incarnation of an endpoint no longer count at the new one.

Conclusion: without samples and without reports the behaviour is as before.

--- a/src/kumquatbeam/controllers/command.hpp
+++ b/src/kumquatbeam/controllers/command.hpp
@@ -4,6 +4,7 @@
 #include "kumquatbeam/settings/member_list.hpp"
 #include "kumquatbeam/types/call.hpp"
 #include "kumquatbeam/types/caller_limits.hpp"
+#include "kumquatbeam/types/endpoint_load.hpp"
 #include "kumquatbeam/types/ids.hpp"
 #include "kumquatbeam/types/peer_message.hpp"
 #include "kumquatbeam/types/time.hpp"
@@ -30,6 +31,8 @@
     std::string contentType;
     /// Header fields that are passed on to the caller.
     header_fields fields {};
+    /// Load that the endpoint reported in the head; only the decisions duty uses it.
+    std::optional<endpoint_load> load {};
 };
 
 /// The next bytes of an answer. The endpoint session reads more once the caller session has acknowledged them.
--- a/src/kumquatbeam/controllers/decision_event.hpp
+++ b/src/kumquatbeam/controllers/decision_event.hpp
@@ -4,6 +4,7 @@
 #include "kumquatbeam/settings/route_bounds.hpp"
 #include "kumquatbeam/settings/route_table.hpp"
 #include "kumquatbeam/types/call.hpp"
+#include "kumquatbeam/types/endpoint_load.hpp"
 #include "kumquatbeam/types/ids.hpp"
 #include "kumquatbeam/types/peer_message.hpp"
 #include "kumquatbeam/types/request_context.hpp"
@@ -47,16 +48,6 @@
     request_id id;
 };
 
-/// Load reported by an endpoint. It lags behind the actual load.
-struct endpoint_load {
-    endpoint_id endpoint;
-    std::int64_t running = 0;
-    std::int64_t waiting = 0;
-    bool isLeaving = false;
-    /// How long work takes on the endpoint's machine at the moment, relative to the usual time, if it says so.
-    std::optional<double> slowdown {};
-};
-
 /// How an attempt to run a call at an endpoint ended.
 enum class attempt_outcome {
     /// The complete answer was received.
--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -54,7 +54,7 @@
         [&](const request_admitted& admitted) { admit(admitted.context, context); },
         [&](const request_refused& refused) { recordRequested(refused.context, context.now); },
         [&](const request_abandoned& abandoned) { abandon(abandoned.id, context); },
-        [&](const answer_begun& begun) { recordFirstByte(begun.id, context.now); },
+        [&](const answer_begun& begun) { recordFirstByte(begun, context.now); },
         [&](const attempt_ended& ended) { finishAttempt(ended, context); },
         [&](const endpoint_noticed& noticed) { recordNotice(noticed, context); },
     };
@@ -182,7 +182,7 @@
     const auto* announced = m_directory.find(choice->endpoint);
     if (!announced)
         return false;
-    pool->recordPlaced(request.call->prompt, *choice, context.now);
+    call.outstandingTokens = pool->recordPlaced(request.call->prompt, *choice, context.now);
 
     const auto kind = request.matched->route->kind;
     start_attempt attempt { .id = request.id,
@@ -212,6 +212,8 @@
         .wait = choice->wait,
         .basis = m_routes.basis(context.now) });
     call.endpoint = choice->endpoint;
+    call.incarnation = announced->incarnation;
+    call.placedAt = context.now;
     call.prefillTokens = choice->prefillTokens;
     const auto id = request.id;
     m_running.emplace(id, std::move(call));
@@ -219,18 +221,6 @@
     return true;
 }
 
-void dispatch_controller::recordFirstByte(request_id id, time_point now)
-{
-    const auto found = m_running.find(id);
-    if (found == m_running.end() || found->second.firstByteAt)
-        return;
-    auto& call = found->second;
-    call.firstByteAt = now;
-    const auto prefilled = std::exchange(call.prefillTokens, token_count {});
-    if (auto* pool = poolOf(call.context))
-        pool->recordPrefilled(call.endpoint, prefilled);
-}
-
 void dispatch_controller::abandon(request_id id, decision_context& context)
 {
     const auto found = m_running.find(id);
@@ -246,7 +236,13 @@
     KUMQUATBEAM_INVARIANT(!node.empty());
     auto call = std::move(node.mapped());
     if (auto* pool = poolOf(call.context)) {
-        pool->recordEnded(call.endpoint, std::exchange(call.prefillTokens, token_count {}));
+        pool->recordEnded(call.endpoint, call.incarnation, std::exchange(call.prefillTokens, token_count {}));
+        // The head of a relayed answer is older than its end, and its load was recorded then. A different endpoint at
+        // the address reports its own load.
+        const bool isOwnReport = ended.outcome == attempt_outcome::Completed
+            || (ended.problem && ended.problem->kind == failure_kind::EndpointRefused);
+        if (ended.load && isOwnReport && !ended.isRelayed)
+            pool->recordLoad(*ended.load, call.incarnation, context.now);
         pool->recordOutcome(ended, context.now);
     }
     applyVerdict(std::move(call), ended, context);
--- a/src/kumquatbeam/controllers/dispatch_controller.hpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.hpp
@@ -25,6 +25,8 @@
 
     std::string_view name() const override { return "dispatch"; }
     void handle(const decision_event&, decision_context&) override;
+    time_point nextDeadline() const override;
+    void onDeadline(decision_context&) override;
     void describe(status_report&) const override;
 
     void addLoad(fleet_heartbeat&, time_point now) const override;
@@ -57,6 +59,11 @@
         request_context context;
         time_point arrivedAt;
         endpoint_id endpoint;
+        /// The endpoint's incarnation that the call was sent to.
+        std::int64_t incarnation = 0;
+        time_point placedAt {};
+        /// Prompt tokens that the endpoint had to prefill when the call was sent, including those of the call.
+        token_count outstandingTokens {};
         /// Prompt tokens that the endpoint still has to prefill before the first event.
         token_count prefillTokens;
         call_history history {};
@@ -74,7 +81,7 @@
     /// Sends a call to an endpoint and tracks it; returns false and leaves the call unchanged if no endpoint can take
     /// it.
     bool start(running_call&, decision_context&);
-    void recordFirstByte(request_id, time_point now);
+    void recordFirstByte(const answer_begun&, time_point now);
     void abandon(request_id, decision_context&);
     void finishAttempt(const attempt_ended&, decision_context&);
     void applyVerdict(running_call, const attempt_ended&, decision_context&);
--- a/src/kumquatbeam/controllers/dispatch_pool.cpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-    /// Prefill rate of an engine, in tokens per millisecond.
-    constexpr double defaultPrefillRate = 50;
-
     std::unique_ptr<placement_strategy> strategyFor(const routed_pool& pool)
     {
         if (pool.engine)
@@ -42,20 +39,22 @@
     for (const auto& [name, description] : announced) {
         if (description.pool != m_id)
             continue;
-        endpoint_view row {
-            .endpoint = name, .key = wireKeyOf(name), .domain = description.domain, .slots = description.slots
-        };
+        endpoint_view row { .endpoint = name,
+            .key = wireKeyOf(name),
+            .domain = description.domain,
+            .slots = description.slots,
+            .incarnation = description.incarnation };
         const auto before = std::find_if(old.begin(), old.end(),
             [&wanted = row.endpoint](const endpoint_view& known) { return known.endpoint == wanted; });
-        if (before != old.end())
+        // Calls at an earlier incarnation put no load on this one.
+        if (before != old.end() && before->incarnation == description.incarnation)
             row = std::move(*before);
         row.slots = description.slots;
         row.isUsable = !description.isDraining;
         names.insert(name);
         m_endpoints.push_back(std::move(row));
     }
-    for (auto& row : m_endpoints)
-        row.prefillRate = defaultPrefillRate;
+    m_speeds.refresh(m_endpoints, 0);
     m_health.setEndpoints(names);
     // A new incarnation has asked for nothing yet.
     std::erase_if(m_quiet, [&](const auto& entry) {
@@ -133,29 +132,50 @@
         m_shares.recordAdmitted(request.account, request.call->prompt.cost(), now);
 }
 
-void dispatch_pool::recordPlaced(const prompt_metadata& prompt, const placement& choice, time_point now)
+token_count dispatch_pool::recordPlaced(const prompt_metadata& prompt, const placement& choice, time_point now)
 {
-    if (auto* row = find(choice.endpoint)) {
-        ++row->running;
-        row->prefillTokens += choice.prefillTokens;
-    }
     m_strategy->recordPlaced(prompt, choice.endpoint, now);
+    auto* row = find(choice.endpoint);
+    if (!row)
+        return choice.prefillTokens;
+    ++row->running;
+    row->prefillTokens += choice.prefillTokens;
+    return row->totalPrefillTokens();
 }
 
-void dispatch_pool::recordPrefilled(const endpoint_id& endpoint, token_count prefilled)
+void dispatch_pool::recordPrefilled(const endpoint_id& endpoint, std::int64_t incarnation, token_count prefilled)
 {
-    if (auto* row = find(endpoint))
+    if (auto* row = find(endpoint, incarnation))
         row->prefillTokens -= prefilled;
 }
 
-void dispatch_pool::recordEnded(const endpoint_id& endpoint, token_count pendingPrefill)
+void dispatch_pool::recordEnded(const endpoint_id& endpoint, std::int64_t incarnation, token_count pendingPrefill)
 {
-    if (auto* row = find(endpoint)) {
+    if (auto* row = find(endpoint, incarnation)) {
         --row->running;
         row->prefillTokens -= pendingPrefill;
     }
 }
 
+void dispatch_pool::recordSpeed(
+    const endpoint_id& endpoint, std::int64_t incarnation, const prefill_sample& sample, time_point now)
+{
+    if (auto* row = find(endpoint, incarnation))
+        m_speeds.recordSample(*row, indexOf(*row), sample, now);
+}
+
+void dispatch_pool::recordLoad(const endpoint_load& load, std::int64_t incarnation, time_point now)
+{
+    auto* row = find(load.endpoint, incarnation);
+    if (!row)
+        return;
+    row->reportedCalls = load.waiting > 0 ? load.running + load.waiting : 0;
+    row->reportedSlowdown = load.slowdown.value_or(1);
+    row->reportUntil = now + reportRetention;
+    if (load.slowdown)
+        m_speeds.recordSlowdown(*row, indexOf(*row), *load.slowdown, now);
+}
+
 void dispatch_pool::recordOutcome(const attempt_ended& ended, time_point now)
 {
     const auto problem = ended.problem ? ended.problem->kind : failure_kind::None;
@@ -177,6 +197,12 @@
     return found == m_endpoints.end() ? nullptr : &*found;
 }
 
+endpoint_view* dispatch_pool::find(const endpoint_id& endpoint, std::int64_t incarnation)
+{
+    auto* row = find(endpoint);
+    return row && row->incarnation == incarnation ? row : nullptr;
+}
+
 bool dispatch_pool::mayUse(const endpoint_view& row, time_point now) const
 {
     return mayUseWhenNotQuiet(row, now) && !isQuiet(row.endpoint, now);
--- a/src/kumquatbeam/controllers/dispatch_pool.hpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.hpp
@@ -5,8 +5,10 @@
 #include "kumquatbeam/decisions/admission/account_shares.hpp"
 #include "kumquatbeam/decisions/endpoint_health.hpp"
 #include "kumquatbeam/decisions/placement/placement_strategy.hpp"
+#include "kumquatbeam/decisions/placement/pool_speeds.hpp"
 #include "kumquatbeam/decisions/shared_retry_budget.hpp"
 #include "kumquatbeam/settings/route_table.hpp"
+#include "kumquatbeam/types/endpoint_load.hpp"
 #include "kumquatbeam/types/request_context.hpp"
 
 #include <map>
@@ -25,9 +27,12 @@
     /// shows which endpoint has the address.
     static constexpr std::chrono::seconds replacedCooldown { 3 };
 
+    /// Time for which the load that an endpoint reported counts for placement.
+    static constexpr std::chrono::milliseconds reportRetention { 1000 };
+
     dispatch_pool(const routed_pool&, const shared_retry_budget::limits&, const fleet_controller&);
 
-    /// Updates the endpoints from the announced ones; endpoints that remain keep their load.
+    /// Updates the endpoints from the announced ones; incarnations that remain keep their load and learned rate.
     void refresh(const route_table&, const std::map<endpoint_id, announced_endpoint>&);
 
     /// Updates the load that the other routers have placed on the endpoints.
@@ -64,12 +69,26 @@
     /// Withdraws one retry from the budget; returns false if the budget is exhausted.
     bool tryWithdrawRetry(time_point now) { return m_retries.tryWithdraw(m_fleet.maxServingRouters(), now); }
 
-    /// @{ Record that a call was placed on an endpoint, that its prompt was prefilled, and that it ended.
-    void recordPlaced(const prompt_metadata&, const placement&, time_point now);
-    void recordPrefilled(const endpoint_id&, token_count prefilled);
-    void recordEnded(const endpoint_id&, token_count pendingPrefill);
+    /// Records that a call was placed on an endpoint. Returns the prompt tokens that the endpoint has to prefill before
+    /// the first event of the call, including those of the call.
+    token_count recordPlaced(const prompt_metadata&, const placement&, time_point now);
+
+    /// @{ Record that the prompt of a call at an incarnation of an endpoint was prefilled, and that the call ended.
+    void recordPrefilled(const endpoint_id&, std::int64_t incarnation, token_count prefilled);
+    void recordEnded(const endpoint_id&, std::int64_t incarnation, token_count pendingPrefill);
+    /// @}
+
+    /// @{ Record what this router learned of the speed and the load of an incarnation of an endpoint.
+    void recordSpeed(const endpoint_id&, std::int64_t incarnation, const prefill_sample&, time_point now);
+    void recordLoad(const endpoint_load&, std::int64_t incarnation, time_point now);
     /// @}
 
+    /// When `updateSpeeds` is due.
+    time_point nextSpeedUpdate() const { return m_speeds.nextUpdate(); }
+
+    /// Updates the prefill rates, and returns the changes to log.
+    std::vector<speed_change> updateSpeeds(time_point now) { return m_speeds.update(m_endpoints, now); }
+
     /// Updates the endpoint's health with the outcome of an attempt.
     void recordOutcome(const attempt_ended&, time_point now);
 
@@ -81,6 +100,9 @@
     };
 
     endpoint_view* find(const endpoint_id&);
+    /// The row of the endpoint if it is still this incarnation; otherwise null.
+    endpoint_view* find(const endpoint_id&, std::int64_t incarnation);
+    std::size_t indexOf(const endpoint_view& row) const { return static_cast<std::size_t>(&row - m_endpoints.data()); }
     bool mayUseWhenNotQuiet(const endpoint_view&, time_point now) const;
     bool isQuiet(const endpoint_id&, time_point now) const;
     bool mayUse(const endpoint_view&, time_point now) const;
@@ -90,6 +112,7 @@
     const fleet_controller& m_fleet;
     std::unique_ptr<placement_strategy> m_strategy;
     std::vector<endpoint_view> m_endpoints;
+    pool_speeds m_speeds;
     endpoint_health m_health;
     shared_retry_budget m_retries;
     account_shares m_shares;
--- a/src/kumquatbeam/decisions/placement/least_running.hpp
+++ b/src/kumquatbeam/decisions/placement/least_running.hpp
@@ -5,7 +5,8 @@
 namespace kumquatbeam {
 
 /// For plain services: the endpoint with the lowest utilisation. Endpoints of the router's own failure domain are
-/// preferred as long as their utilisation is low.
+/// preferred as long as their utilisation is low. The utilisation of an endpoint that has reported waiting calls or a
+/// slowdown within the last second counts those.
 class least_running final : public placement_strategy {
 public:
     std::string_view name() const override { return "least-running"; }
--- a/src/kumquatbeam/decisions/placement/placement_strategy.hpp
+++ b/src/kumquatbeam/decisions/placement/placement_strategy.hpp
@@ -21,7 +21,7 @@
     wire_key key;
     failure_domain_id domain;
     slot_count slots;
-    /// Prefill rate in prompt tokens per millisecond; zero for plain services.
+    /// Estimated prefill rate in prompt tokens per millisecond; used only for model engines.
     double prefillRate = 0;
     /// Start of the endpoint's incarnation, to which its load and its learned rate belong.
     std::int64_t incarnation = 0;
@@ -35,6 +35,12 @@
     std::int64_t peerRunning = 0;
     token_count peerPrefillTokens;
     /// @}
+    /// @{ What the endpoint last reported to this router, until the report is outdated: the calls that run and wait
+    /// there if some wait, and how long work takes relative to the usual time.
+    std::int64_t reportedCalls = 0;
+    double reportedSlowdown = 1;
+    time_point reportUntil = time_point::min();
+    /// @}
     /// Whether the call may be sent there: the endpoint is announced, not leaving, not ejected, and not yet tried for
     /// this call.
     bool isUsable = true;
--- a/src/kumquatbeam/duties/callers_duty.cpp
+++ b/src/kumquatbeam/duties/callers_duty.cpp
@@ -208,8 +208,8 @@
     const event_handlers handlers {
         [&](reply_to_caller&& reply) { deliver(std::move(reply)); },
         [&](answer_head&& head) {
-            // Used only for metrics, so a full ring may drop it.
-            static_cast<void>(m_links.decisions->tryPost(answer_begun { head.id }));
+            // Used only for metrics and estimates, so a full ring may drop it.
+            static_cast<void>(m_links.decisions->tryPost(answer_begun { head.id, std::move(head.load) }));
             deliver(std::move(head));
         },
         [&](answer_chunk&& chunk) { deliver(std::move(chunk)); },
--- a/src/kumquatbeam/sessions/endpoint_session.cpp
+++ b/src/kumquatbeam/sessions/endpoint_session.cpp
@@ -273,8 +273,9 @@
         return;
     const auto& head = m_parser->get();
     const auto type = head[http::field::content_type];
-    m_delegate.relay(answer_head { m_attempt.id, { static_cast<int>(head.result_int()) },
-        std::string(type.data(), type.size()), m_delegate.dialect().forwardedFields(head) });
+    m_delegate.relay(
+        answer_head { m_attempt.id, { static_cast<int>(head.result_int()) }, std::string(type.data(), type.size()),
+            m_delegate.dialect().forwardedFields(head), m_delegate.dialect().loadOf(head, m_attempt.to.endpoint) });
 }
 
 void endpoint_session::readChunk()
--- /dev/null
+++ b/tests/unit/dispatch_speeds.tests.cpp
@@ -0,0 +1,129 @@
+#include "routing_fixture.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+
+using namespace kumquatbeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A router with one engine, whose requests take as long as the engine's rate requires.
+class engine_fixture : public routing_fixture {
+public:
+    engine_fixture()
+    {
+        publish(table(1));
+        announceEngine(1);
+    }
+
+    void announceEngine(std::int64_t incarnation) { announce({ endpoint("e1", "desk", incarnation) }); }
+
+    static prompt_metadata promptOf(std::int64_t tokens)
+    {
+        return { .model = "m", .promptTokens = { tokens }, .outputLimit = { 100 }, .parts = { { { 1 }, { tokens } } } };
+    }
+
+    /// Sends a request and returns the estimated wait of the next one.
+    std::chrono::microseconds waitBehind(std::int64_t tokens)
+    {
+        const auto first = sendRequest("/quote/1", "key", promptOf(tokens));
+        const auto sent = attempts();
+        sendRequest("/quote/1", "key", promptOf(100));
+        REQUIRE(attempts() == sent + 1);
+        const auto wait = log.placements.back().wait;
+        end(request_id { first.value + 1 });
+        end(first);
+        return wait;
+    }
+
+    /// Runs requests one after the other on an engine with a rate in tokens per millisecond.
+    void runRequests(double rate, int count, std::optional<double> slowdown = std::nullopt)
+    {
+        constexpr std::int64_t tokens = 10'000;
+        for (int i = 0; i < count; ++i) {
+            const auto id = sendRequest("/quote/1", "key", promptOf(tokens));
+            pass(endpoint_speed::baseTime + std::chrono::milliseconds(static_cast<std::int64_t>(tokens / rate)));
+            handle(answer_begun { id, endpoint_load { { "e1" }, 1, 0, false, slowdown } });
+            pass(100ms);
+            end(id);
+            publish(table(1));
+        }
+    }
+
+    void end(request_id id)
+    {
+        auto ended = attemptEnd(id, attempt_outcome::Completed);
+        ended.isRelayed = true;
+        handle(ended);
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(engine_fixture, "Waits follow the speed that an engine has shown [endpoint_speed]")
+{
+    CHECK(waitBehind(10'000) == 200ms);
+    runRequests(157, 30);
+    const auto learned = waitBehind(10'000);
+    CHECK(learned > 55ms);
+    CHECK(learned < 75ms);
+    SUBCASE("A new incarnation under the same id starts from the fallback")
+    {
+        announceEngine(2);
+        pass(12s);
+        publish(table(1));
+        CHECK(waitBehind(10'000) == 200ms);
+    }
+    SUBCASE("It returns to the default when nothing is learned")
+    {
+        pass(20s);
+        publish(table(1));
+        CHECK(waitBehind(10'000) > 195ms);
+    }
+    SUBCASE("A reported slowdown counts for at most a second")
+    {
+        const auto id = sendRequest("/quote/1", "key", promptOf(0));
+        handle(answer_begun { id, endpoint_load { { "e1" }, 1, 0, false, 2.0 } });
+        end(id);
+        CHECK(waitBehind(10'000) > learned * 19 / 10);
+        pass(1000ms);
+        CHECK(waitBehind(10'000) < learned * 12 / 10);
+    }
+}
+
+TEST_CASE_FIXTURE(engine_fixture, "Calls at an earlier incarnation do not count at the new one [endpoint_speed]")
+{
+    // An engine that restarts under its id has lost its requests; their prompts would delay the new one's first calls.
+    const auto before = sendRequest("/quote/1", "key", promptOf(10'000));
+    announceEngine(2);
+    const auto after = sendRequest("/quote/1", "key", promptOf(100));
+    CHECK(log.placements.back().wait == 0us);
+    handle(attemptEnd(before, attempt_outcome::Broken));
+    handle(attemptEnd(after, attempt_outcome::Broken));
+    sendRequest("/quote/1", "key", promptOf(100));
+    CHECK(log.placements.back().wait == 0us);
+}
+
+TEST_CASE_FIXTURE(engine_fixture, "A changed rate is logged [endpoint_speed]")
+{
+    runRequests(157, 30);
+    const auto isSpeed = [](const change_record& record) { return record.change == "speed"; };
+    const auto lines = std::count_if(log.changes.begin(), log.changes.end(), isSpeed);
+    CHECK(lines >= 1);
+    CHECK(lines <= 2);
+}
+
+TEST_CASE_FIXTURE(routing_fixture, "The load in a plain answer counts for placement [endpoint_speed]")
+{
+    publish(table(1));
+    announce({ endpoint("b1", "book"), endpoint("b2", "book") });
+    const auto id = sendRequest("/lookup/1");
+    const auto first = lastAttempt()->to.endpoint;
+    auto ended = attemptEnd(id, attempt_outcome::Completed);
+    ended.load = endpoint_load { first, 6, 4 };
+    handle(ended);
+    sendRequest("/lookup/1");
+    CHECK(lastAttempt()->to.endpoint != first);
+}
--- a/tests/unit/placement.tests.cpp
+++ b/tests/unit/placement.tests.cpp
@@ -162,3 +162,23 @@
     rows[1].running = 4;
     CHECK(least_running {}.place(callOf(none), rows, start)->endpoint.value == "far");
 }
+
+TEST_CASE("A plain call avoids endpoints that have lately reported waiting calls or a slowdown [placement]")
+{
+    std::vector<endpoint_view> rows { { .endpoint = { "a" }, .domain = north, .slots = { 6 }, .running = 1 },
+        { .endpoint = { "b" }, .domain = north, .slots = { 6 }, .running = 2 } };
+    const prompt_metadata none;
+    const auto chosen = [&](time_point now) { return least_running {}.place(callOf(none), rows, now)->endpoint.value; };
+    CHECK(chosen(start) == "a");
+    SUBCASE("waiting calls of other routers count")
+    {
+        rows[0].reportedCalls = 5;
+    }
+    SUBCASE("work that takes longer counts")
+    {
+        rows[0].reportedSlowdown = 2.5;
+    }
+    rows[0].reportUntil = start + std::chrono::seconds(1);
+    CHECK(chosen(start) == "b");
+    CHECK(chosen(start + std::chrono::seconds(1)) == "a");
+}
--- a/tests/unit/platform/dialects.tests.cpp
+++ b/tests/unit/platform/dialects.tests.cpp
@@ -196,10 +196,28 @@
     CHECK(load->waiting == 2);
     for (const char* counts : { "3,2", "3,2,8,1", "-1,2,8", "3,99999999999999999999,8", "3, 2,8", "" })
         CHECK_FALSE(dialect.loadOf(answer(200, { { "Server-Load", counts } }), { "i-7" }));
+    CHECK_FALSE(load->slowdown);
     CHECK_FALSE(hasField(
         dialect.forwardedFields(answer(200, { { "Server-Load", "3,2,8" }, { "Keep-Alive", "x" } })), "Server-Load"));
 }
 
+TEST_CASE("The fourth figure of a load report is the time that work takes [platform]")
+{
+    const platform_endpoint_dialect dialect;
+    const auto loadOf = [&](const char* text) {
+        return dialect.loadOf(answer(200, { { "Server-Load", text } }), { "i-7" });
+    };
+    REQUIRE(loadOf("3,2,8,250"));
+    CHECK(loadOf("3,2,8,250")->running == 3);
+    CHECK(*loadOf("3,2,8,100")->slowdown == doctest::Approx(1));
+    CHECK(*loadOf("3,2,8,250")->slowdown == doctest::Approx(2.5));
+    CHECK(*loadOf("3,2,8,87.5")->slowdown == doctest::Approx(0.875));
+    // A malformed figure must not make an endpoint look fast or slow.
+    for (const char* text : { "3,2,8,", "3,2,8,0", "3,2,8,-100", "3,2,8,inf", "3,2,8,nan", "3,2,8,1e3", "3,2,8, 100",
+             "3,2,8,+100", "3,2,8,100%", "3,2,8,99999999", "3,2,8,1.2.3", "3,2,8,100,1" })
+        CHECK_FALSE(loadOf(text));
+}
+
 TEST_CASE("An endpoint's notices are decoded from any answer [platform]")
 {
     const platform_endpoint_dialect dialect;
--- a/tests/unit/recorded_commands.hpp
+++ b/tests/unit/recorded_commands.hpp
@@ -51,15 +51,16 @@
     std::vector<any_command> m_commands;
 };
 
-/// Records the changes and failures that controllers log.
+/// Records the placements, changes and failures that controllers log.
 class recorded_log final : public decision_log {
 public:
-    void placed(const placement_record&) override { }
+    void placed(const placement_record& record) override { placements.push_back(record); }
     void refused(const refusal_record&) override { }
     void ended(const outcome_record&) override { }
     void changed(const change_record& record) override { changes.push_back(record); }
     void failed(std::string_view, const failure& what) override { failures.push_back(what); }
 
+    std::vector<placement_record> placements;
     std::vector<change_record> changes;
     std::vector<failure> failures;
 };
--- a/tests/unit/routing_fixture.hpp
+++ b/tests/unit/routing_fixture.hpp
@@ -103,7 +103,7 @@
             core.onDeadline(now);
     }
 
-    request_id sendRequest(const std::string& path, const std::string& key = "key")
+    request_id sendRequest(const std::string& path, const std::string& key = "key", prompt_metadata prompt = {})
     {
         call_request call;
         call.callerRequestId = { "label" + std::to_string(lastRequest + 1) };
@@ -111,6 +111,7 @@
         call.authority = "desk.example";
         call.target = path;
         call.credential = key;
+        call.prompt = std::move(prompt);
         const request_id id { ++lastRequest };
         handle(request_arrived { id, std::make_shared<const call_request>(std::move(call)) });
         return id;
--- a/tests/unit/sessions/endpoint_session.tests.cpp
+++ b/tests/unit/sessions/endpoint_session.tests.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <variant>
 
 using namespace kumquatbeam;
 using namespace kumquatbeam::testing;
@@ -162,6 +163,21 @@
     CHECK(fixture.duty.outcomes.empty());
 }
 
+TEST_CASE("The load that an endpoint reports in the head of a stream is passed on with the head [endpoint_session]")
+{
+    endpoint_session_fixture fixture({ .opening = sealedHead
+            + "Server-Load: 3,2,8,250\r\nTransfer-Encoding: chunked\r\n\r\ne\r\nid: 1\ndata: a\n\r\n1\r\n\n\r\n" });
+    fixture.start(fixture.attempt(5s, answer_delivery::Events));
+    REQUIRE(runUntil(
+        fixture.context, [&] { return !fixture.duty.relayed.empty(); }, 2s));
+    const auto* head = std::get_if<answer_head>(&fixture.duty.relayed.front());
+    REQUIRE(head);
+    REQUIRE(head->load);
+    CHECK(head->load->endpoint.value == "engine");
+    CHECK(head->load->waiting == 2);
+    CHECK(head->load->slowdown == 2.5);
+}
+
 TEST_CASE("What another endpoint at a reused address says is not reported [endpoint_session]")
 {
     endpoint_session_fixture fixture({ .opening = "HTTP/1.1 421 Misdirected\r\nServer-Leaving: 1\r\n\r\n" });
