--- a/src/kumquatbeam/controllers/directory_controller.hpp
+++ b/src/kumquatbeam/controllers/directory_controller.hpp
@@ -60,7 +60,6 @@
     /// The endpoint, or null if it is gone.
     const announced_endpoint* find(const endpoint_id&) const;
 
-
     /// When the last evacuation of the failure domain ended; `time_point::min()` if none has ended lately.
     time_point evacuationEndedAt(const failure_domain_id&) const;
 
--- a/src/kumquatbeam/controllers/dispatch_pool.cpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.cpp
@@ -13,9 +13,6 @@
 
 namespace {
 
-    /// Prefill rate of an engine, in tokens per millisecond.
-    constexpr double defaultPrefillRate = 50;
-
     std::unique_ptr<placement_strategy> strategyFor(const routed_pool& pool)
     {
         if (pool.engine)
@@ -77,8 +74,7 @@
     m_formerEndpoints.clear();
     std::copy_if(old.begin(), old.end(), std::back_inserter(m_formerEndpoints),
         [](const endpoint_view& row) { return row.running > 0; });
-    for (auto& row : m_endpoints)
-        row.prefillRate = defaultPrefillRate;
+    m_speeds.refresh(m_endpoints, 0);
     m_health.setEndpoints(names);
     // A new incarnation has asked for nothing yet.
     std::erase_if(m_quiet, [&](const auto& entry) {
@@ -244,17 +240,18 @@
         m_shares.recordAdmitted(request.account, request.call->prompt.cost(), now);
 }
 
-void dispatch_pool::recordPlaced(const prompt_metadata& prompt, const placement& choice, time_point now)
+token_count dispatch_pool::recordPlaced(const prompt_metadata& prompt, const placement& choice, time_point now)
 {
+    m_strategy->recordPlaced(prompt, choice.endpoint, now);
     const auto row = std::find_if(m_endpoints.begin(), m_endpoints.end(),
         [&](const endpoint_view& known) { return known.endpoint == choice.endpoint; });
-    if (row != m_endpoints.end()) {
-        ++row->running;
-        row->prefillTokens += choice.prefillTokens;
-        m_allowance.recordSent(row->key, now);
-        m_counts.sentToCold += now < row->coldUntil ? 1 : 0;
-    }
-    m_strategy->recordPlaced(prompt, choice.endpoint, now);
+    if (row == m_endpoints.end())
+        return choice.prefillTokens;
+    ++row->running;
+    row->prefillTokens += choice.prefillTokens;
+    m_allowance.recordSent(row->key, now);
+    m_counts.sentToCold += now < row->coldUntil ? 1 : 0;
+    return row->totalPrefillTokens();
 }
 
 void dispatch_pool::recordPrefilled(const endpoint_id& endpoint, std::int64_t incarnation, token_count prefilled)
@@ -273,6 +270,25 @@
     std::erase_if(m_formerEndpoints, [](const endpoint_view& row) { return row.running == 0; });
 }
 
+void dispatch_pool::recordSpeed(
+    const endpoint_id& endpoint, std::int64_t incarnation, const prefill_sample& sample, time_point now)
+{
+    if (auto* row = findIn(m_endpoints, endpoint, incarnation))
+        m_speeds.recordSample(*row, indexOf(*row), sample, now);
+}
+
+void dispatch_pool::recordLoad(const endpoint_load& load, std::int64_t incarnation, time_point now)
+{
+    auto* row = findIn(m_endpoints, load.endpoint, incarnation);
+    if (!row)
+        return;
+    row->reportedCalls = load.waiting > 0 ? load.running + load.waiting : 0;
+    row->reportedSlowdown = load.slowdown.value_or(1);
+    row->reportUntil = now + reportRetention;
+    if (load.slowdown)
+        m_speeds.recordSlowdown(*row, indexOf(*row), *load.slowdown, now);
+}
+
 void dispatch_pool::recordOutcome(const attempt_ended& ended, std::int64_t incarnation, time_point now)
 {
     const auto problem = ended.problem ? ended.problem->kind : failure_kind::None;
--- a/src/kumquatbeam/controllers/dispatch_pool.hpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.hpp
@@ -8,9 +8,11 @@
 #include "kumquatbeam/decisions/placement/cold_allowance.hpp"
 #include "kumquatbeam/decisions/placement/cold_endpoints.hpp"
 #include "kumquatbeam/decisions/placement/placement_strategy.hpp"
+#include "kumquatbeam/decisions/placement/pool_speeds.hpp"
 #include "kumquatbeam/decisions/shared_retry_budget.hpp"
 #include "kumquatbeam/settings/route_bounds.hpp"
 #include "kumquatbeam/settings/route_table.hpp"
+#include "kumquatbeam/types/endpoint_load.hpp"
 #include "kumquatbeam/types/request_context.hpp"
 
 #include <map>
@@ -36,9 +38,12 @@
     static constexpr double retryDelayFraction = 0.3;
     /// @}
 
+    /// Time for which the load that an endpoint reported counts for placement.
+    static constexpr std::chrono::milliseconds reportRetention { 1000 };
+
     dispatch_pool(const routed_pool&, const shared_retry_budget::limits&, const fleet_controller&);
 
-    /// Updates the endpoints from the announced ones; incarnations that remain keep their load.
+    /// Updates the endpoints from the announced ones; incarnations that remain keep their load and learned rate.
     void refresh(const route_table&, const route_bounds&, const directory_controller&);
 
     /// Lets a read of the directory supersede failures from before it. `refresh` must follow.
@@ -108,13 +113,27 @@
     /// Withdraws one retry from the budget; returns false if the budget is exhausted.
     bool tryWithdrawRetry(time_point now) { return m_retries.tryWithdraw(m_fleet.maxServingRouters(), now); }
 
-    /// @{ Record that a call was placed on an endpoint, that its prompt was prefilled, and that it ended. The load
-    /// belongs to the incarnation that got the call.
-    void recordPlaced(const prompt_metadata&, const placement&, time_point now);
+    /// Records that a call was placed on an endpoint. Returns the prompt tokens that the endpoint has to prefill before
+    /// the first event of the call, including those of the call.
+    token_count recordPlaced(const prompt_metadata&, const placement&, time_point now);
+
+    /// @{ Record that the prompt of a call was prefilled, and that the call ended. The load belongs to the incarnation
+    /// that got the call.
     void recordPrefilled(const endpoint_id&, std::int64_t incarnation, token_count prefilled);
     void recordEnded(const endpoint_id&, std::int64_t incarnation, token_count pendingPrefill);
     /// @}
 
+    /// @{ Record what this router learned of the speed and the load of an incarnation of an endpoint.
+    void recordSpeed(const endpoint_id&, std::int64_t incarnation, const prefill_sample&, time_point now);
+    void recordLoad(const endpoint_load&, std::int64_t incarnation, time_point now);
+    /// @}
+
+    /// When `updateSpeeds` is due.
+    time_point nextSpeedUpdate() const { return m_speeds.nextUpdate(); }
+
+    /// Updates the prefill rates, and returns the changes to log.
+    std::vector<speed_change> updateSpeeds(time_point now) { return m_speeds.update(m_endpoints, now); }
+
     /// Updates the endpoint's health with the outcome of an attempt at one of its incarnations.
     void recordOutcome(const attempt_ended&, std::int64_t incarnation, time_point now);
 
@@ -127,6 +146,7 @@
 
     void setColdLimit(const routed_pool&, const route_bounds&);
     endpoint_view* find(const endpoint_id&, std::int64_t incarnation);
+    std::size_t indexOf(const endpoint_view& row) const { return static_cast<std::size_t>(&row - m_endpoints.data()); }
     /// Whether every endpoint that could be used otherwise is cold, and this router may send nothing to it now.
     bool hasOnlyCold(time_point now) const;
     bool mayUseCold(const endpoint_view&, time_point now) const;
@@ -141,6 +161,7 @@
     std::vector<endpoint_view> m_endpoints;
     /// Incarnations that are no longer announced, with calls that still run there.
     std::vector<endpoint_view> m_formerEndpoints;
+    pool_speeds m_speeds;
     endpoint_health m_health;
     shared_retry_budget m_retries;
     account_shares m_shares;
