Tell refused callers to return at a rate that the pool can serve

Cause: refused callers were told to return after 0.3 to 1 s at random, into the load that had refused them; bursts last 3 to 6 s. Ruled out: a queue in the router, which holds calls that cannot be started in time. Before: the delay depended on the caller's id only. After: a schedule for each pool gives callers the first time at which returning calls take at most a quarter of what the router starts, within a third of their remaining time. Not built and not measured when this was committed.

--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -98,6 +98,13 @@
     return pool == m_pools.end() ? std::nullopt : pool->second.quietUntil(now);
 }
 
+time_point dispatch_controller::returnTimeFor(
+    const request_context& request, return_schedule::return_window window, time_point now) const
+{
+    const auto pool = m_pools.find(request.matched->pool);
+    return pool == m_pools.end() ? window.earliest : pool->second.returnTimeFor(request, window, now);
+}
+
 bool dispatch_controller::hasUsableEndpoint(const pool_id& id, time_point now) const
 {
     const auto pool = m_pools.find(id);
@@ -163,8 +170,11 @@
 void dispatch_controller::recordRequested(const request_context& request, time_point now)
 {
     auto* pool = request.matched ? poolOf(request) : nullptr;
-    if (pool)
-        pool->recordRequested(request, now);
+    if (!pool)
+        return;
+    pool->recordRequested(request, now);
+    if (request.returnAt)
+        pool->recordReturn(request, *request.returnAt);
 }
 
 bool dispatch_controller::start(running_call& call, decision_context& context)
--- a/src/kumquatbeam/controllers/dispatch_pool.cpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.cpp
@@ -15,6 +15,12 @@
     /// Prefill rate of an engine, in tokens per millisecond.
     constexpr double defaultPrefillRate = 50;
 
+    /// Cost of a call in the schedule of returning callers. Calls without a prompt count alike.
+    token_count returnCostOf(const request_context& request)
+    {
+        return std::max(request.call->prompt.cost(), token_count { 1 });
+    }
+
     std::unique_ptr<placement_strategy> strategyFor(const routed_pool& pool)
     {
         if (pool.engine)
@@ -120,6 +126,20 @@
     return m_strategy->place({ request.call->prompt, ownDomain, waitLimitOf(request, now) }, endpoints, now);
 }
 
+time_point dispatch_pool::returnTimeFor(
+    const request_context& request, return_schedule::return_window window, time_point now) const
+{
+    // The key differs for each request, so that the callers of a slot do not return at the same moment.
+    constexpr double keyRange = 4'294'967'296.0;
+    const auto spread = static_cast<double>(wireKeyOf(request.call->callerRequestId).value) / keyRange;
+    return m_returns.timeFor(returnCostOf(request), window, m_started.perSecond(now), spread, now);
+}
+
+void dispatch_pool::recordReturn(const request_context& request, time_point returnAt)
+{
+    m_returns.reserve(returnCostOf(request), returnAt);
+}
+
 void dispatch_pool::recordRequested(const request_context& request, time_point now)
 {
     if (!request.account.value.empty())
@@ -129,6 +149,7 @@
 void dispatch_pool::recordAdmitted(const request_context& request, time_point now)
 {
     m_retries.recordRequest(now);
+    m_started.add(static_cast<double>(returnCostOf(request).value), now);
     if (!request.account.value.empty())
         m_shares.recordAdmitted(request.account, request.call->prompt.cost(), now);
 }
--- a/src/kumquatbeam/controllers/dispatch_pool.hpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.hpp
@@ -3,6 +3,7 @@
 #include "kumquatbeam/controllers/directory_controller.hpp"
 #include "kumquatbeam/controllers/fleet_controller.hpp"
 #include "kumquatbeam/decisions/admission/account_shares.hpp"
+#include "kumquatbeam/decisions/admission/return_schedule.hpp"
 #include "kumquatbeam/decisions/endpoint_health.hpp"
 #include "kumquatbeam/decisions/placement/placement_strategy.hpp"
 #include "kumquatbeam/decisions/shared_retry_budget.hpp"
@@ -61,6 +62,12 @@
     /// Requested and admitted rates of the accounts with recent requests at this router.
     std::vector<std::pair<wire_key, account_rates>> rates(time_point now) const { return m_shares.rates(now); }
 
+    /// When a caller that is refused now is told to retry, within the window.
+    time_point returnTimeFor(const request_context&, return_schedule::return_window, time_point now) const;
+
+    /// Records that a caller is told to return then.
+    void recordReturn(const request_context&, time_point returnAt);
+
     /// Withdraws one retry from the budget; returns false if the budget is exhausted.
     bool tryWithdrawRetry(time_point now) { return m_retries.tryWithdraw(m_fleet.maxServingRouters(), now); }
 
@@ -93,6 +100,9 @@
     endpoint_health m_health;
     shared_retry_budget m_retries;
     account_shares m_shares;
+    /// Tokens of the calls that this router starts.
+    decayed_rate m_started;
+    return_schedule m_returns;
     /// Endpoints at whose address another one has answered, and when each may be used again.
     std::map<endpoint_id, time_point> m_replaced;
     std::map<endpoint_id, quiet_period> m_quiet;
