Read the era of the store, and decode anew in another era

Cause: a restored store assigns revisions again, and the reader took a known revision for a known value. A read could also combine pages from before and after a restore. A malformed header is reported and counts as 0. After a change of era the store is read at the interval that follows an outage.

--- a/tests/unit/sessions/store_reader.tests.cpp
+++ b/tests/unit/sessions/store_reader.tests.cpp
@@ -20,9 +20,22 @@
     return R"({"key":")" + key + R"(","revision":3,"value":")" + absl::Base64Escape(value) + R"("})";
 }
 
-std::string response(const std::string& body)
+/// A response of the store; `era` is the value of its era field, which is left out if it is empty.
+std::string response(const std::string& body, const std::string& era = "")
 {
-    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    const auto field = era.empty() ? "" : "Store-Era: " + era + "\r\n";
+    return "HTTP/1.1 200 OK\r\n" + field + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string pageOf(const std::string& items, bool hasMore = false)
+{
+    return R"({"items":[)" + items + R"(],"truncated":)" + (hasMore ? "true}" : "false}");
+}
+
+/// A configuration without routes, in which one pool exists.
+std::string configuration(const std::string& pool)
+{
+    return R"({"version":8,"routes":[],"services":[{"name":")" + pool + R"("}]})";
 }
 
 const std::string goodEntry
@@ -162,3 +175,72 @@
     }
     CHECK(reads.back().readStartedAt > first + fixture.bounds.reannounceGracePeriod);
 }
+
+TEST_CASE("An observation states the era of the store, zero if the store states none or a malformed one [store_reader]")
+{
+    struct stated_era {
+        std::string text;
+        std::uint64_t era;
+        bool isFaulty;
+    };
+    for (const auto& [text, era, isFaulty] :
+        { stated_era { "", 0, false }, stated_era { "7", 7, false }, stated_era { "-1", 0, true },
+            stated_era { "7x", 0, true }, stated_era { "99999999999999999999999", 0, true } }) {
+        store_fixture fixture({ .opening = response(pageOf(item("op/config", configuration("p"))), text) });
+        REQUIRE(fixture.awaits<directory_observed>(1, 2s));
+        CHECK(fixture.all<directory_observed>().front().era.value == era);
+        CHECK(fixture.all<routes_observed>().front().era.value == era);
+        CHECK(fixture.all<source_faulty>().empty() != isFaulty);
+    }
+}
+
+// After a restore, revisions are assigned again. A value decoded before it was taken for the new one.
+TEST_CASE("A revision that is assigned again after a restore is decoded anew [store_reader]")
+{
+    const auto moved = R"({"service":"s1","address":"10.128.0.10:8080","zone":"z","version":"v1","slots":48,)"
+                       R"("state":"ready","cold_remaining_ms":0,"sequence":4,"born":18})";
+    store_fixture fixture({ .opening
+        = response(pageOf(item("op/config", configuration("old")) + "," + item("servers/a", goodEntry)), "3") });
+    REQUIRE(fixture.awaits<directory_observed>(1, 2s));
+    CHECK(fixture.all<directory_observed>().back().directory->revisions.at({ "a" }).value == 3);
+    fixture.server.sendOnNextRequest(
+        response(pageOf(item("op/config", configuration("new")) + "," + item("servers/a", moved)), "4"));
+    REQUIRE(fixture.awaits<directory_observed>(2, 3s));
+    const auto& endpoint = fixture.all<directory_observed>().back().directory->endpoints.at({ "a" });
+    CHECK(endpoint.address == "10.128.0.10");
+    CHECK(endpoint.incarnation == 18);
+    const auto routes = fixture.all<routes_observed>().back();
+    CHECK(routes.era.value == 4);
+    CHECK(routes.table->pools.contains({ "new" }));
+    CHECK(fixture.all<source_lost>().empty());
+}
+
+// Pages from before and after a restore together are a state that the store never had.
+TEST_CASE("A read whose pages come from two eras is restarted and not reported [store_reader]")
+{
+    store_fixture fixture({ .opening = response(pageOf(item("servers/a", goodEntry), true), "3") });
+    REQUIRE(runUntil(
+        fixture.context, [&] { return fixture.server.requests() >= 1; }, 2s));
+    const auto started = clock::now();
+    fixture.server.sendOnNextRequest(response(pageOf(item("servers/b", goodEntry)), "4"));
+    REQUIRE(fixture.awaits<directory_observed>(1, 3s));
+    const auto read = fixture.all<directory_observed>().front();
+    CHECK(read.era.value == 4);
+    CHECK(read.directory->endpoints.size() == 1);
+    CHECK(read.directory->endpoints.contains({ "b" }));
+    CHECK(read.readStartedAt >= started + 150ms);
+    CHECK(fixture.all<source_faulty>().size() == 1);
+    CHECK(fixture.all<source_lost>().empty());
+}
+
+TEST_CASE("After a restore the store is read more often until lost entries are back [store_reader]")
+{
+    store_fixture fixture({ .opening = response(pageOf(""), "3") });
+    REQUIRE(fixture.awaits<directory_observed>(1, 2s));
+    fixture.server.sendOnNextRequest(response(pageOf(""), "4"));
+    REQUIRE(fixture.awaits<directory_observed>(2, 3s));
+    const auto restored = fixture.all<directory_observed>().back().readStartedAt;
+    REQUIRE(fixture.awaits<directory_observed>(5, 4s));
+    const auto reads = fixture.all<directory_observed>();
+    CHECK(reads[4].readStartedAt - restored < 1500ms);
+}
