--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -1,9 +1,13 @@
 #!/usr/bin/env python3
 """Stand-in for the store of the users' platform: paged `GET /-/kv-range` over persistent connections, as routers use it.
 
+Every response states the store's era in the field Store-Era.
+
 POST /control/put?key=K stores the body as the value of K and POST /control/delete?key=K removes K. POST
 /control/mode?down=yes|no&slow-ms=T&status=CODE makes the store leave reads unanswered, delay them, or answer each with
-CODE. Every control request returns the number of reads so far; GET /control/counts does nothing else.
+CODE. POST /control/copy keeps a copy of the store, and POST /control/restore restores the copy: what was written since is
+lost, revisions go back, and the era increases by one. Every control request returns the number of reads so far, the
+revision and the era; GET /control/counts does nothing else.
 """
 
 import argparse
@@ -21,6 +25,8 @@
     def __init__(self):
         self.items = {}
         self.revision = 1
+        self.era = 0
+        self.copy = ({}, 1)
         self.down = False
         self.slow_seconds = 0.0
         self.status = 200
@@ -49,11 +55,16 @@
         elif request.path == "/control/delete":
             self.revision += 1
             self.items.pop(request.query["key"], None)
+        elif request.path == "/control/copy":
+            self.copy = (dict(self.items), self.revision)
+        elif request.path == "/control/restore":
+            self.items, self.revision = dict(self.copy[0]), self.copy[1]
+            self.era += 1
         elif request.path == "/control/mode":
             self.down = request.query.get("down", "no") == "yes"
             self.slow_seconds = float(request.query.get("slow-ms", "0")) / 1000
             self.status = int(request.query.get("status", "200"))
-        return 200, json.dumps({"reads": self.reads}).encode()
+        return 200, json.dumps({"reads": self.reads, "revision": self.revision, "era": self.era}).encode()
 
     async def handle_connection(self, reader, writer):
         try:
@@ -66,8 +77,8 @@
                 if answer is None:
                     await asyncio.Event().wait()
                 status, body = answer
-                writer.write(f"HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
-                             .encode() + body)
+                writer.write(f"HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\nStore-Era: {self.era}\r\n"
+                             f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, ValueError):
             pass
