Cover the expiry of a named version without a further heartbeat

The test passed with the expiry taken out of the check of a read, since another heartbeat reset the name first.

--- a/tests/unit/restored_store.tests.cpp
+++ b/tests/unit/restored_store.tests.cpp
@@ -180,7 +180,11 @@
     publishIn({ 1 }, table(7));
     CHECK(failureOfCall() == failure_kind::KeysStale);
     pass(61s);
-    hear("r3", 7);
+    SUBCASE("when another router names an older one")
+    {
+        hear("r3", 7);
+    }
+    SUBCASE("when no router is heard") { }
     publishIn({ 1 }, table(7));
     announceIn({ 1 }, { { first, 4 } });
     CHECK(failureOfCall() == failure_kind::None);
