Add early answers and odd statuses to the scenario of reported failures (not run yet)

The stand-in worker gets two faults: early-reset sends a part of an answer without length before it reads the request's body, and resets the connection; status-NNN answers with that status. The scenario sends both to orders, repeatable calls and streams.

--- a/tests/scenarios/reported_failures.py
+++ b/tests/scenarios/reported_failures.py
@@ -1,6 +1,7 @@
 """Brings about the failures that operators of similar systems have reported, over real entry routers on a stand-in for the
 users' platform, and checks that none of them happens here."""
 
+import http.client
 import json
 import os
 import socket
@@ -27,6 +28,12 @@
 # Memory for answers that are still incomplete: a quarter of the process's memory.
 ANSWER_MEMORY_KIB = platform_fleet.MEMORY_LIMIT_MB * 1024 // 4
 
+# More than the kernel buffers for a worker that does not read, and within the limit of a request's body.
+LONG_UPLOAD = b"x" * 4_000_000
+
+# Longer than the first ejections of an endpoint (2 s, then 4 s).
+EJECTION_SECONDS = 5
+
 # Time within which an answer without end is given up, from the stated limits: it fills a buffer within a moment, and the rest
 # of a refusal or of another call's answer is read for half a second at most.
 ENDLESS_LIMIT_SECONDS = 3
@@ -105,6 +112,38 @@
         checks.true(f"a half answer is no success ({fault} {path})", body is None or status != 200, (status, body))
 
 
+def check_early_answers(checks, running, router):
+    """A worker answered a long upload at once, sent a part of its answer and reset the connection; the part looked complete."""
+    for path, extra in (("/order/1", {}), ("/lookup/1", {}), ("/quote/1", {"X_Events": 3})):
+        for number in range(3):
+            name = f"early-{path[1:6]}{number}"
+            status, _, body = Caller(router).call(name, path, body=LONG_UPLOAD, X_Fault="early-reset", **extra)
+            whole = body == expected_events(name, 3) if extra else b"POST /lookup/1" in (body or b"")
+            checks.true(f"a part of an early answer is no success ({name})", body is None or status != 200 or whole, (status, body))
+            if path == "/order/1":
+                checks.equal(f"an order that was answered early is not sent again ({number})",
+                             len(running.arrivals_of(name)), 1)
+        check_serving(checks, running, router, f"early-answers-{path[1:6]}")
+
+
+def check_odd_statuses(checks, running, router):
+    """A worker answered with a status that HTTP does not have, and the caller got that as the answer."""
+    for status in ("000", "099", "600", "999"):
+        for path, extra in (("/order/1", {}), ("/lookup/1", {}), ("/quote/1", {"X_Events": 3})):
+            name = f"odd-{status}-{path[1:6]}"
+            started = time.monotonic()
+            try:
+                got = Caller(router).call(name, path, X_Fault=f"status-{status}", deadline_ms=4000, **extra)[0]
+            except http.client.BadStatusLine as line:
+                got = str(line)
+            expected = (502,) if path == "/order/1" else (200, 502)
+            checks.true(f"the status {status} reaches no caller ({path})", got in expected, got)
+            checks.at_most(f"the status {status} ends its attempt at once ({path})", round(time.monotonic() - started, 1), 2)
+            if path == "/order/1":
+                checks.equal(f"an order answered with {status} is not sent again", len(running.arrivals_of(name)), 1)
+        check_serving(checks, running, router, f"status-{status}")
+
+
 def check_endless_answers(checks, running, router):
     """Bytes that are no answer come without end, in a head or a body, until the caller closes."""
     before = memory_of(router)
@@ -285,6 +324,10 @@
         check_slow_and_stalled_streams(checks, running, router)
         check_silent_worker(checks, running, router)
         check_half_answers(checks, running, router)
+        check_early_answers(checks, running, router)
+        check_odd_statuses(checks, running, router)
+        # Workers that broke off are ejected for a moment, and the checks that follow need all of them.
+        time.sleep(EJECTION_SECONDS)
         check_endless_answers(checks, running, router)
         check_hoarded_answers(checks, running, router)
         check_unnamed_bytes(checks, running, router)
--- a/tests/standins/http_server.py
+++ b/tests/standins/http_server.py
@@ -26,6 +26,13 @@
 
 async def read_request(reader):
     """Reads one request; raises asyncio.IncompleteReadError if the connection ends first."""
+    request = await read_request_head(reader)
+    request.body = await reader.readexactly(int(request.headers.get("content-length", "0")))
+    return request
+
+
+async def read_request_head(reader):
+    """Reads a request up to its body; raises asyncio.IncompleteReadError if the connection ends first."""
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode("latin-1").split("\r\n")
     method, target, _ = lines[0].split(" ")
@@ -34,9 +41,8 @@
         if line:
             name, value = line.split(":", 1)
             headers[name.strip().lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", "0")))
     parts = urllib.parse.urlsplit(target)
-    return Request(method, parts.path, dict(urllib.parse.parse_qsl(parts.query)), headers, body)
+    return Request(method, parts.path, dict(urllib.parse.parse_qsl(parts.query)), headers, b"")
 
 
 async def write_response(writer, response):
--- a/tests/standins/platform_worker.py
+++ b/tests/standins/platform_worker.py
@@ -11,7 +11,9 @@
 the next one now and then), leaving (the answer says that the worker leaves), quiet (a refusal that asks for 2 s of quiet),
 refusal-late and failure-late (a 503 with Not-Executed, or a 400, that names no request follows 50 ms later), refusal-again (a
 refusal that names its request, and once more 50 ms later), endless-body (4 MB, then a byte now and then),
-endless-head, endless-extension, endless-refusal, large-trailer (bytes that end an answer never, or in a field that is too large).
+endless-head, endless-extension, endless-refusal, large-trailer (bytes that end an answer never, or in a field that is too large),
+early-reset (a part of an answer without length is sent before the request's body is read, and the connection is reset),
+status-NNN (the answer, or the stream, has the status NNN).
 
 GET /control/seen returns, for the worker of the port, the requests that arrived, that ran and that the caller cancelled, and
 the number of connections.
@@ -25,12 +27,13 @@
 import time
 from dataclasses import dataclass, field
 
-from http_server import read_request
+from http_server import read_request_head
 
 
 COPY_DELAY = 0.05
 STALL_PAUSE = 0.1
 ENDLESS_BODY_SIZE = 4_000_000
+STATUS_FAULT = "status-"
 
 # Bytes that name no request, sent some time after a whole answer.
 UNNAMED = {
@@ -68,16 +71,39 @@
         self.record.connections += 1
         try:
             while True:
-                request = await read_request(reader)
+                request = await read_request_head(reader)
                 if request.path == "/control/seen":
                     await self.control(writer)
-                elif not await self.serve(request, reader, writer):
+                    continue
+                if self.is_answered_early(request):
+                    await self.answer_early(request, writer)
+                    return
+                request.body = await reader.readexactly(int(request.headers.get("content-length", "0")))
+                if not await self.serve(request, reader, writer):
                     return
         except (asyncio.IncompleteReadError, ConnectionError, ValueError):
             pass
         finally:
             writer.close()
 
+    def is_answered_early(self, request):
+        return request.headers.get("x-fault") == "early-reset" and request.headers.get("attempt-id") not in self.arrived_ids
+
+    async def answer_early(self, request, writer):
+        """Sends a part of an answer, or of a stream, and resets the connection while the body is still being sent."""
+        request_id = request.headers["attempt-id"]
+        self.arrived_ids.add(request_id)
+        self.record_arrival(request)
+        self.record.runs.append(request_id)
+        content_type = "Content-Type: text/event-stream\r\n" if "x-events" in request.headers else ""
+        writer.write(self.response_head(request_id, extra=content_type + "\r\n").encode() + numbered_event(request_id, 1))
+        await writer.drain()
+        reset(writer)
+
+    def record_arrival(self, request):
+        self.record.arrivals.append({"id": request.headers.get("attempt-id", ""), "at": time.monotonic(), "path": request.path,
+                                     "method": request.method, "body": len(request.body), "headers": request.headers})
+
     async def control(self, writer):
         body = json.dumps({"arrivals": self.record.arrivals, "runs": self.record.runs, "left": self.record.cancelled_at,
                            "connections": self.record.connections}).encode()
@@ -99,8 +125,7 @@
         if request_id in self.arrived_ids:
             fault = ""
         self.arrived_ids.add(request_id)
-        self.record.arrivals.append({"id": request_id, "at": time.monotonic(), "path": request.path, "method": request.method,
-                                   "body": len(request.body), "headers": request.headers})
+        self.record_arrival(request)
         if request.headers.get("expected-instance") != self.name or fault == "misdirect":
             writer.write(f"HTTP/1.1 421 Misdirected\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n".encode())
             return True
@@ -148,6 +173,8 @@
         elif fault in UNNAMED:
             writer.write(self.complete_response(request_id, body))
             self.send_later(writer, UNNAMED[fault])
+        elif fault.startswith(STATUS_FAULT):
+            writer.write(self.complete_response(request_id, body, fault.removeprefix(STATUS_FAULT)))
         elif fault == "leaving":
             writer.write(self.complete_response(request_id, body, extra="Server-Leaving: 1\r\n"))
         elif fault == "unsealed":
@@ -195,14 +222,15 @@
         last = int(request.headers["x-events"])
         pause = float(request.headers.get("x-pause-ms", "1")) / 1000
         disconnected = asyncio.ensure_future(reader.read(1))
+        status = fault.removeprefix(STATUS_FAULT) if fault.startswith(STATUS_FAULT) else 200
         writer.write(self.response_head(
-            request_id, extra="Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
+            request_id, status, extra="Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
         for number in range(first, last + 1):
             done, _ = await asyncio.wait({disconnected}, timeout=pause)
             if done and not disconnected.result():
                 self.record.cancelled_at[request_id] = time.monotonic()
                 return False
-            event = f"id: {number}\ndata: {request_id} event {number}\n\n".encode()
+            event = numbered_event(request_id, number)
             if fault == "stall" and number > first:
                 await self.stall(event, writer)
             if fault in ("inside", "truncate") and number == (first + last) // 2:
@@ -227,6 +255,10 @@
             await asyncio.sleep(STALL_PAUSE)
 
 
+def numbered_event(request_id, number):
+    return f"id: {number}\ndata: {request_id} event {number}\n\n".encode()
+
+
 def reset(writer):
     """Closes the connection with a TCP reset."""
     writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
