Share measured prefill rates in heartbeats and show them in the status

Cause: each of 72 routers sends an engine about one request in 6 s, too few to learn its rate alone.

A separate list of rates was ruled out for its size, and passing on whole estimates because rates would come back to the router that measured them.

Before: heartbeats carried running calls and outstanding tokens. After: the row of an endpoint also carries the rate of the sender's own samples since its last report; `running` is cut off at 65,535, and the row remains at 16 bytes. The fleet controller keeps the last reported rate of each endpoint, and `dispatch_pool` takes each report once. The status shows learned rates.

--- a/src/kumquatbeam/codec/peer_codec.cpp
+++ b/src/kumquatbeam/codec/peer_codec.cpp
@@ -177,7 +177,8 @@
         }
         std::vector<frames::beat_endpoint> endpoints;
         for (const auto& row : message.endpoints)
-            endpoints.emplace_back(row.endpoint.value, row.running, row.prefillTokens.value);
+            endpoints.emplace_back(
+                row.endpoint.value, toShortCount(row.running), row.prefillRate, row.prefillTokens.value);
         std::vector<frames::beat_account> accounts;
         for (const auto& row : message.accounts)
             accounts.emplace_back(row.account.value, static_cast<std::uint32_t>(row.requestedPerSecond.value),
@@ -328,9 +329,9 @@
         }
         if (body.endpoints()) {
             for (const auto* row : *body.endpoints()) {
-                if (!callRange.contains(row->running()) || !tokenRange.contains(row->to_read()))
+                if (!tokenRange.contains(row->to_read()))
                     return std::nullopt;
-                message.endpoints.push_back({ { row->endpoint() }, row->running(), { row->to_read() } });
+                message.endpoints.push_back({ { row->endpoint() }, row->running(), { row->to_read() }, row->rate() });
             }
         }
         if (body.accounts()) {
--- a/src/kumquatbeam/codec/status_json.cpp
+++ b/src/kumquatbeam/codec/status_json.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+
 namespace kumquatbeam {
 
 namespace {
@@ -49,9 +51,9 @@
     }
     json["endpoints"] = nlohmann::ordered_json::array();
     for (const auto& row : report.endpoints) {
-        json["endpoints"].push_back(
-            { { "endpoint", row.endpoint.value }, { "pool", row.pool.value }, { "slots", row.slots.value },
-                { "running", row.running.value }, { "leaving", row.isLeaving }, { "ejected", row.isEjected } });
+        json["endpoints"].push_back({ { "endpoint", row.endpoint.value }, { "pool", row.pool.value },
+            { "slots", row.slots.value }, { "running", row.running.value }, { "leaving", row.isLeaving },
+            { "ejected", row.isEjected }, { "learned_tokens_per_ms", std::lround(row.prefillRate) } });
     }
     json["peers"] = nlohmann::ordered_json::array();
     for (const auto& row : report.peers)
--- a/src/kumquatbeam/codec/status_table.cpp
+++ b/src/kumquatbeam/codec/status_table.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <map>
 
 namespace kumquatbeam {
@@ -64,6 +65,11 @@
         std::int64_t running = 0;
         std::int64_t endpoints = 0;
         std::int64_t leaving = 0;
+        /// @{ Endpoints with a learned rate, and their lowest and highest rate in tokens per millisecond.
+        std::int64_t learned = 0;
+        std::int64_t lowestRate = 0;
+        std::int64_t highestRate = 0;
+        /// @}
     };
 
     std::string formatEndpoints(const json& status)
@@ -75,12 +81,20 @@
             pool.slots += numberOf(row, "slots");
             pool.running += numberOf(row, "running");
             pool.leaving += row.at("leaving").get<bool>() ? 1 : 0;
+            const auto rate = numberOf(row, "learned_tokens_per_ms");
+            if (rate == 0)
+                continue;
+            pool.lowestRate = pool.learned == 0 ? rate : std::min(pool.lowestRate, rate);
+            pool.highestRate = std::max(pool.highestRate, rate);
+            ++pool.learned;
         }
-        auto text
-            = absl::StrFormat("\n%-12s %9s %8s %8s %14s\n", "POOL", "ENDPOINTS", "LEAVING", "SLOTS", "RUNNING (here)");
+        auto text = absl::StrFormat("\n%-12s %9s %8s %8s %14s %22s\n", "POOL", "ENDPOINTS", "LEAVING", "SLOTS",
+            "RUNNING (here)", "RATES learned tokens/ms");
         for (const auto& [name, pool] : pools)
-            absl::StrAppendFormat(
-                &text, "%-12s %9d %8d %8d %14d\n", name, pool.endpoints, pool.leaving, pool.slots, pool.running);
+            absl::StrAppendFormat(&text, "%-12s %9d %8d %8d %14d %22s\n", name, pool.endpoints, pool.leaving,
+                pool.slots, pool.running,
+                pool.learned == 0 ? ""
+                                  : absl::StrFormat("%d: %d to %d", pool.learned, pool.lowestRate, pool.highestRate));
         return text;
     }
 
--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -65,20 +65,23 @@
 {
     for (const auto& [id, pool] : m_pools) {
         for (const auto& row : pool.endpoints())
-            report.endpoints.push_back({ row.endpoint, id, row.slots,
-                slot_count { static_cast<std::int32_t>(row.running) }, !row.isUsable, pool.isEjected(row.endpoint) });
+            report.endpoints.push_back(
+                { row.endpoint, id, row.slots, slot_count { static_cast<std::int32_t>(row.running) }, !row.isUsable,
+                    pool.isEjected(row.endpoint), pool.hasLearnedRate(row) ? row.prefillRate : 0 });
     }
 }
 
-void dispatch_controller::addLoad(fleet_heartbeat& heartbeat, time_point now) const
+void dispatch_controller::addLoad(fleet_heartbeat& heartbeat, time_point now)
 {
     if (m_routes.current())
         heartbeat.routes = m_routes.current()->revisionNumber;
     m_directory.addLeaving(heartbeat);
-    for (const auto& [id, pool] : m_pools) {
+    for (auto& [id, pool] : m_pools) {
+        // A rate is reported in a row that is sent anyway, since each row has a cost.
         for (const auto& row : pool.endpoints()) {
             if (row.running > 0)
-                heartbeat.endpoints.push_back({ row.key, static_cast<std::uint32_t>(row.running), row.prefillTokens });
+                heartbeat.endpoints.push_back({ row.key, static_cast<std::uint32_t>(row.running), row.prefillTokens,
+                    pool.takeRateReport(row, now) });
         }
         for (const auto& [account, rates] : pool.rates(now))
             heartbeat.accounts.push_back({ account, { static_cast<std::int64_t>(rates.requested) },
--- a/src/kumquatbeam/controllers/dispatch_controller.hpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.hpp
@@ -29,7 +29,7 @@
     void onDeadline(decision_context&) override;
     void describe(status_report&) const override;
 
-    void addLoad(fleet_heartbeat&, time_point now) const override;
+    void addLoad(fleet_heartbeat&, time_point now) override;
 
     /// The endpoint for a request that is sent now, or nothing if no endpoint can start it in time.
     std::optional<placement> choose(const request_context&, time_point now) const;
--- a/src/kumquatbeam/controllers/dispatch_pool.cpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.cpp
@@ -54,7 +54,7 @@
         names.insert(name);
         m_endpoints.push_back(std::move(row));
     }
-    m_speeds.refresh(m_endpoints, 0);
+    m_speeds.refresh(m_endpoints, m_fleet.lastRateNumber());
     m_health.setEndpoints(names);
     // A new incarnation has asked for nothing yet.
     std::erase_if(m_quiet, [&](const auto& entry) {
@@ -69,6 +69,8 @@
         const auto load = m_fleet.peerLoad(row.key);
         row.peerRunning = load.running;
         row.peerPrefillTokens = load.prefillTokens;
+        if (const auto* report = m_fleet.peerRate(row.key))
+            m_speeds.recordReport(row, indexOf(row), report->rate, report->number, report->at);
     }
 }
 
--- a/src/kumquatbeam/controllers/dispatch_pool.hpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.hpp
@@ -35,7 +35,7 @@
     /// Updates the endpoints from the announced ones; incarnations that remain keep their load and learned rate.
     void refresh(const route_table&, const std::map<endpoint_id, announced_endpoint>&);
 
-    /// Updates the load that the other routers have placed on the endpoints.
+    /// Updates the load that the other routers have placed on the endpoints, and takes in the rates they measured.
     void updatePeerLoad();
 
     /// Makes endpoints whose address was taken by another one usable again, after the directory has changed.
@@ -83,6 +83,15 @@
     void recordLoad(const endpoint_load&, std::int64_t incarnation, time_point now);
     /// @}
 
+    /// Takes the rate to report for an endpoint; see `endpoint_speed::takeReport`.
+    std::uint16_t takeRateReport(const endpoint_view& row, time_point now)
+    {
+        return m_speeds.takeReport(indexOf(row), now);
+    }
+
+    /// Whether something is known of the speed of an endpoint.
+    bool hasLearnedRate(const endpoint_view& row) const { return m_speeds.at(indexOf(row)).hasLearned(); }
+
     /// When `updateSpeeds` is due.
     time_point nextSpeedUpdate() const { return m_speeds.nextUpdate(); }
 
--- a/src/kumquatbeam/controllers/fleet_controller.cpp
+++ b/src/kumquatbeam/controllers/fleet_controller.cpp
@@ -71,6 +71,12 @@
     return found == m_peerLoad.end() ? load {} : found->second;
 }
 
+const fleet_controller::reported_rate* fleet_controller::peerRate(wire_key endpoint) const
+{
+    const auto found = m_reportedRates.find(endpoint);
+    return found == m_reportedRates.end() ? nullptr : &found->second;
+}
+
 std::int64_t fleet_controller::maxServingRouters() const
 {
     const auto others = std::count_if(m_members.begin(), m_members.end(),
@@ -105,6 +111,10 @@
         .load = heartbeat.endpoints,
         .accounts = heartbeat.accounts };
     countLoad(known, 1);
+    for (const auto& row : heartbeat.endpoints) {
+        if (row.prefillRate > 0)
+            m_reportedRates[row.endpoint] = { row.prefillRate, ++m_lastRateNumber, context.now };
+    }
     for (const auto& router : heartbeat.knownRouters)
         addKnownRouter(router, context);
     context.raised.emplace_back(fleet_load_changed {});
@@ -157,6 +167,7 @@
         context.log.changed({ name(), "silent", id.value });
         context.raised.emplace_back(fleet_load_changed {});
     }
+    std::erase_if(m_reportedRates, [&](const auto& entry) { return context.now >= entry.second.at + rateRetention; });
     const auto removed
         = std::erase_if(m_members, [&](const auto& entry) { return context.now >= entry.second.removeAt; });
     m_havePeersChanged |= removed > 0;
--- a/src/kumquatbeam/controllers/fleet_controller.hpp
+++ b/src/kumquatbeam/controllers/fleet_controller.hpp
@@ -18,7 +18,7 @@
     virtual ~load_source() = default;
 
     /// Adds the load of this router to a heartbeat.
-    virtual void addLoad(fleet_heartbeat&, time_point now) const = 0;
+    virtual void addLoad(fleet_heartbeat&, time_point now) = 0;
 };
 
 /// Owns the known state of the other routers of the fleet, and sends them heartbeats with the state of this one.
@@ -51,10 +51,22 @@
         token_count prefillTokens;
     };
 
+    /// Time for which a reported rate is kept. Users apply it when it arrives.
+    static constexpr std::chrono::seconds rateRetention { 10 };
+
+    /// The prefill rate of an endpoint that another router has reported last.
+    struct reported_rate {
+        /// Prompt tokens per millisecond.
+        std::uint16_t rate = 0;
+        /// Increases with each report of any endpoint.
+        std::uint64_t number = 0;
+        time_point at {};
+    };
+
     fleet_controller(const router_settings&, incarnation_id, std::vector<std::string> seeds);
 
     /// Sets the source of the load in heartbeats; must be called before the first event.
-    void setLoadSource(const load_source& source) { m_loadSource = &source; }
+    void setLoadSource(load_source& source) { m_loadSource = &source; }
 
     std::string_view name() const override { return "fleet"; }
     void handle(const decision_event&, decision_context&) override;
@@ -65,6 +77,12 @@
     /// Load that the other routers have placed on an endpoint, from their latest heartbeats.
     load peerLoad(wire_key endpoint) const;
 
+    /// The rate that another router has reported last for an endpoint, or null if none was lately.
+    const reported_rate* peerRate(wire_key endpoint) const;
+
+    /// Number of the last reported rate.
+    std::uint64_t lastRateNumber() const { return m_lastRateNumber; }
+
     /// Requested and admitted rates of each account at the other routers, from their latest heartbeats.
     const account_shares::rate_map& peerRates() const { return m_peerRates; }
 
@@ -101,9 +119,11 @@
     const router_settings& m_settings;
     incarnation_id m_incarnation;
     std::vector<std::string> m_seeds;
-    const load_source* m_loadSource = nullptr;
+    load_source* m_loadSource = nullptr;
     std::map<entry_vm_id, member> m_members;
     std::unordered_map<wire_key, load> m_peerLoad;
+    std::unordered_map<wire_key, reported_rate> m_reportedRates;
+    std::uint64_t m_lastRateNumber = 0;
     account_shares::rate_map m_peerRates;
     std::uint64_t m_sequence = 0;
     time_point m_nextHeartbeatAt {};
--- a/src/kumquatbeam/controllers/status_report.hpp
+++ b/src/kumquatbeam/controllers/status_report.hpp
@@ -30,6 +30,8 @@
     bool isLeaving = false;
     /// Whether the endpoint is ejected because of failures, or on probation after an ejection.
     bool isEjected = false;
+    /// Learned prefill rate in prompt tokens per millisecond; zero if nothing was learned lately.
+    double prefillRate = 0;
 };
 
 /// State of one peer as known to this router.
--- a/src/kumquatbeam/types/peer_message.hpp
+++ b/src/kumquatbeam/types/peer_message.hpp
@@ -117,6 +117,9 @@
         std::uint32_t running = 0;
         /// Prompt tokens of requests that were sent there and have no answer yet.
         token_count prefillTokens;
+        /// Prefill rate that the sender itself has measured since it last reported one, in prompt tokens per
+        /// millisecond; zero if it has measured too little.
+        std::uint16_t prefillRate = 0;
     };
 
     struct account_row {
