--- a/src/kumquatbeam/codec/status_json.cpp
+++ b/src/kumquatbeam/codec/status_json.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+
 namespace kumquatbeam {
 
 namespace {
@@ -53,7 +55,8 @@
     for (const auto& row : report.endpoints) {
         json["endpoints"].push_back({ { "endpoint", row.endpoint.value }, { "pool", row.pool.value },
             { "slots", row.slots.value }, { "running", row.running.value }, { "leaving", row.isLeaving },
-            { "ejected", row.isEjected }, { "evacuated", row.isEvacuated }, { "cold", row.isCold } });
+            { "ejected", row.isEjected }, { "evacuated", row.isEvacuated }, { "cold", row.isCold },
+            { "learned_tokens_per_ms", std::lround(row.prefillRate) } });
     }
     json["evacuated_domains"] = nlohmann::ordered_json::array();
     for (const auto& domain : report.evacuatedDomains)
--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -77,7 +77,7 @@
     describePools(m_pools, report);
 }
 
-void dispatch_controller::addLoad(fleet_heartbeat& heartbeat, time_point now) const
+void dispatch_controller::addLoad(fleet_heartbeat& heartbeat, time_point now)
 {
     if (m_routes.current())
         heartbeat.routes = m_routes.current()->revisionNumber;
--- a/src/kumquatbeam/controllers/dispatch_pool.cpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.cpp
@@ -80,7 +80,7 @@
     m_formerEndpoints.clear();
     std::copy_if(old.begin(), old.end(), std::back_inserter(m_formerEndpoints),
         [](const endpoint_view& row) { return row.running > 0; });
-    m_speeds.refresh(m_endpoints, 0);
+    m_speeds.refresh(m_endpoints, m_fleet.lastRateNumber());
     m_health.setEndpoints(names);
     // A new incarnation has asked for nothing yet.
     std::erase_if(m_quiet, [&](const auto& entry) {
@@ -95,6 +95,8 @@
         const auto load = m_fleet.peerLoad(row.key);
         row.peerRunning = load.running;
         row.peerPrefillTokens = load.prefillTokens;
+        if (const auto* report = m_fleet.peerRate(row.key))
+            m_speeds.recordReport(row, indexOf(row), report->rate, report->number, report->at);
     }
     if (m_membersVersion != m_fleet.membersVersion()) {
         m_membersVersion = m_fleet.membersVersion();
--- a/src/kumquatbeam/controllers/dispatch_pool.hpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.hpp
@@ -53,7 +53,7 @@
         m_cold.applyRead(directory, readStartedAt);
     }
 
-    /// Updates the other routers and the load that they have placed on the endpoints.
+    /// Updates the other routers, the load that they have placed on the endpoints, and the rates that they measured.
     void updatePeerLoad();
 
     /// Makes endpoints whose address was taken by another one usable again, after the directory has changed.
@@ -135,6 +135,15 @@
     void recordLoad(const endpoint_load&, std::int64_t incarnation, time_point now);
     /// @}
 
+    /// Takes the rate to report for an endpoint; see `endpoint_speed::takeReport`.
+    std::uint16_t takeRateReport(const endpoint_view& row, time_point now)
+    {
+        return m_speeds.takeReport(indexOf(row), now);
+    }
+
+    /// Whether something is known of the speed of an endpoint.
+    bool hasLearnedRate(const endpoint_view& row) const { return m_speeds.at(indexOf(row)).hasLearned(); }
+
     /// When `updateSpeeds` is due.
     time_point nextSpeedUpdate() const { return m_speeds.nextUpdate(); }
 
--- a/src/kumquatbeam/controllers/status_report.hpp
+++ b/src/kumquatbeam/controllers/status_report.hpp
@@ -33,6 +33,8 @@
     /// Whether the endpoint's failure domain is evacuated.
     bool isEvacuated = false;
     bool isCold = false;
+    /// Learned prefill rate in prompt tokens per millisecond; zero if nothing was learned lately.
+    double prefillRate = 0;
 };
 
 /// Counts of the decisions about cold endpoints and evacuated failure domains in one pool.
