Return to the default rate when the last learned engine expires

Cause: the fallback was computed before outdated samples were dropped, so a pool in which nothing is learned any more kept the last rate. After: samples expire before the fallback is computed.

--- a/src/kumquatbeam/decisions/placement/endpoint_speed.cpp
+++ b/src/kumquatbeam/decisions/placement/endpoint_speed.cpp
@@ -69,12 +69,17 @@
     m_slowdownUntil = now + slowdownRetention;
 }
 
-void endpoint_speed::update(double fallback, time_point now)
+void endpoint_speed::expire(time_point now)
 {
-    m_fallback = fallback;
     m_learned.decay(now);
     if (now >= m_learnedUntil)
         m_learned = {};
+}
+
+void endpoint_speed::update(double fallback, time_point now)
+{
+    m_fallback = fallback;
+    expire(now);
     m_rate = withinBounds(withinStep(m_rate, target()));
 }
 
--- a/src/kumquatbeam/decisions/placement/endpoint_speed.hpp
+++ b/src/kumquatbeam/decisions/placement/endpoint_speed.hpp
@@ -85,7 +85,10 @@
     /// Records a reported slowdown: 1 is the usual speed, 2 is half of it.
     void recordSlowdown(double slowdown, time_point now);
 
-    /// Applies the decay and the pool's fallback rate.
+    /// Applies the decay, and drops samples and reports after their retention.
+    void expire(time_point now);
+
+    /// Does the same, and applies the pool's fallback rate.
     void update(double fallback, time_point now);
 
     /// Whether samples or reports determine the estimate.
--- a/src/kumquatbeam/decisions/placement/pool_speeds.cpp
+++ b/src/kumquatbeam/decisions/placement/pool_speeds.cpp
@@ -57,6 +57,9 @@
 {
     std::vector<speed_change> changes;
     m_nextUpdate = never;
+    // An expired estimate must not be part of the fallback to which it returns.
+    for (auto& known : m_speeds)
+        known.speed.expire(now);
     updateFallback();
     for (std::size_t i = 0; i < rows.size(); ++i) {
         auto& known = m_speeds[i];
