Lose the connection in the test of a read that fails halfway

The stand-in follows another script only on new connections, so the test waited for an outage that never came: 1 of the 7 test cases of the store reader failed. It now silences the connection first. After: 7 passed.

--- a/tests/unit/sessions/store_reader.tests.cpp
+++ b/tests/unit/sessions/store_reader.tests.cpp
@@ -178,11 +178,16 @@
     CHECK(first->evacuatedDomains == std::set<failure_domain_id> { { "north" }, { "south" }, { "west" } });
     CHECK(first->endpoints.size() == 1);
     CHECK(fixture.all<source_faulty>().size() == 2);
-    // The second page of this read never comes.
+    // The connection is lost, and the first page of the next reads has no second one.
     fixture.server.setScript(
         { .opening = response(R"({"items":[)" + item("op/evacuate/north", "{}") + R"(],"truncated":true})") });
+    fixture.server.silence();
     REQUIRE(fixture.awaits<source_lost>(1, 5s));
     const auto reads = fixture.all<directory_observed>().size();
+    const auto connections = fixture.server.connections();
+    REQUIRE(runUntil(
+        fixture.context, [&] { return fixture.server.connections() >= connections + 2; }, 3s));
+    CHECK(fixture.all<directory_observed>().size() == reads);
     fixture.server.setScript({ .opening = response(R"({"items":[)" + item("servers/a", goodEntry) + tail) });
     REQUIRE(fixture.awaits<directory_observed>(reads + 1, 5s));
     for (std::size_t i = 0; i < reads; ++i)
