--- a/tests/unit/sessions/store_reader.tests.cpp
+++ b/tests/unit/sessions/store_reader.tests.cpp
@@ -243,49 +243,50 @@
     REQUIRE(fixture.awaits<directory_observed>(5, 4s));
     const auto reads = fixture.all<directory_observed>();
     CHECK(reads[4].readStartedAt - restored < 1500ms);
+}
 
-    // Guards against an evacuation that is missed because of its value, or that a name which no failure domain has
-    // stands for.
-    TEST_CASE("A read shows the evacuated failure domains, and one that fails shows nothing [store_reader]")
-    {
-        const std::string tail = R"(],"truncated":false})";
-        const auto page = R"({"items":[)" + item("op/evacuate/", "{}") + "," + item("op/evacuate/north", "{}") + ","
-            + item("op/evacuate/south", "not json") + R"(,{"key":"op/evacuate/west","value":null},)"
-            + item("op/evacuate/a\\r\\nb", "{}") + "," + item("op/evacuated/east", "{}") + ","
-            + item("servers/a", goodEntry);
-        store_fixture fixture({ .opening = response(page + tail) });
-        REQUIRE(fixture.awaits<directory_observed>(1, 5s));
-        const auto first = fixture.all<directory_observed>().front().directory;
-        CHECK(first->evacuatedDomains == std::set<failure_domain_id> { { "north" }, { "south" }, { "west" } });
-        CHECK(first->endpoints.size() == 1);
-        CHECK(fixture.all<source_faulty>().size() == 2);
-        // The connection is lost, and the first page of the next reads has no second one.
-        fixture.server.setScript(
-            { .opening = response(R"({"items":[)" + item("op/evacuate/north", "{}") + R"(],"truncated":true})") });
-        fixture.server.silence();
-        REQUIRE(fixture.awaits<source_lost>(1, 5s));
-        const auto reads = fixture.all<directory_observed>().size();
-        const auto connections = fixture.server.connections();
-        REQUIRE(runUntil(
-            fixture.context, [&] { return fixture.server.connections() >= connections + 2; }, 3s));
-        CHECK(fixture.all<directory_observed>().size() == reads);
-        fixture.server.setScript({ .opening = response(R"({"items":[)" + item("servers/a", goodEntry) + tail) });
-        REQUIRE(fixture.awaits<directory_observed>(reads + 1, 5s));
-        for (std::size_t i = 0; i < reads; ++i)
-            CHECK(fixture.all<directory_observed>()[i].directory->evacuatedDomains.size() == 3);
-        CHECK(fixture.all<directory_observed>().back().directory->evacuatedDomains.empty());
-    }
+// Guards against an evacuation that is missed because of its value, or that a name which no failure domain has
+// stands for.
+TEST_CASE("A read shows the evacuated failure domains, and one that fails shows nothing [store_reader]")
+{
+    const std::string tail = R"(],"truncated":false})";
+    const auto page = R"({"items":[)" + item("op/evacuate/", "{}") + "," + item("op/evacuate/north", "{}") + ","
+        + item("op/evacuate/south", "not json") + R"(,{"key":"op/evacuate/west","value":null},)"
+        + item("op/evacuate/a\\r\\nb", "{}") + "," + item("op/evacuated/east", "{}") + ","
+        + item("servers/a", goodEntry);
+    store_fixture fixture({ .opening = response(page + tail) });
+    REQUIRE(fixture.awaits<directory_observed>(1, 5s));
+    const auto first = fixture.all<directory_observed>().front().directory;
+    CHECK(first->evacuatedDomains == std::set<failure_domain_id> { { "north" }, { "south" }, { "west" } });
+    CHECK(first->endpoints.size() == 1);
+    CHECK(fixture.all<source_faulty>().size() == 2);
+    // The connection is lost, and the first page of the next reads has no second one.
+    fixture.server.setScript(
+        { .opening = response(R"({"items":[)" + item("op/evacuate/north", "{}") + R"(],"truncated":true})") });
+    fixture.server.silence();
+    REQUIRE(fixture.awaits<source_lost>(1, 5s));
+    const auto reads = fixture.all<directory_observed>().size();
+    const auto connections = fixture.server.connections();
+    REQUIRE(runUntil(
+        fixture.context, [&] { return fixture.server.connections() >= connections + 2; }, 3s));
+    CHECK(fixture.all<directory_observed>().size() == reads);
+    fixture.server.setScript({ .opening = response(R"({"items":[)" + item("servers/a", goodEntry) + tail) });
+    REQUIRE(fixture.awaits<directory_observed>(reads + 1, 5s));
+    for (std::size_t i = 0; i < reads; ++i)
+        CHECK(fixture.all<directory_observed>()[i].directory->evacuatedDomains.size() == 3);
+    CHECK(fixture.all<directory_observed>().back().directory->evacuatedDomains.empty());
+}
 
-    TEST_CASE("A cold time counts from the read that showed it first [store_reader]")
-    {
-        auto entry = goodEntry;
-        entry.replace(entry.find("\"cold_remaining_ms\":0"), 21, "\"cold_remaining_ms\":9000");
-        store_fixture fixture(
-            { .opening = response(R"({"items":[)" + item("servers/a", entry) + R"(],"truncated":false})") });
-        REQUIRE(fixture.awaits<directory_observed>(2, 5s));
-        const auto reads = fixture.all<directory_observed>();
-        const auto coldUntil = reads.front().directory->endpoints.at({ "a" }).coldUntil;
-        CHECK(coldUntil > reads.front().readStartedAt + 8s);
-        CHECK(coldUntil < reads.front().readStartedAt + 10s);
-        CHECK(reads.back().directory->endpoints.at({ "a" }).coldUntil == coldUntil);
-    }
+TEST_CASE("A cold time counts from the read that showed it first [store_reader]")
+{
+    auto entry = goodEntry;
+    entry.replace(entry.find("\"cold_remaining_ms\":0"), 21, "\"cold_remaining_ms\":9000");
+    store_fixture fixture(
+        { .opening = response(R"({"items":[)" + item("servers/a", entry) + R"(],"truncated":false})") });
+    REQUIRE(fixture.awaits<directory_observed>(2, 5s));
+    const auto reads = fixture.all<directory_observed>();
+    const auto coldUntil = reads.front().directory->endpoints.at({ "a" }).coldUntil;
+    CHECK(coldUntil > reads.front().readStartedAt + 8s);
+    CHECK(coldUntil < reads.front().readStartedAt + 10s);
+    CHECK(reads.back().directory->endpoints.at({ "a" }).coldUntil == coldUntil);
+}
