Show what callers out of control do to an entry router

Cause: what all callers hold together is not bounded; each request alone is within its limit.

The scenario meets a router of its own, with 64 MB and 256 descriptors in its settings, with each part of the crowd: 150 or 200 callers whose requests stop short, exceed the limit, pipeline behind a slow one or say nothing, or that do not read. The bounds are the settings' own limits. Crowd and bounds are fixed here, before the product changes.

--- a/tests/standins/platform_worker.py
+++ b/tests/standins/platform_worker.py
@@ -2,7 +2,8 @@
 """Stand-in for workers of the users' platform, both plain services and model engines, on persistent connections.
 
 Request header fields select the worker's behaviour: `X-Events` is the number of events of a stream, `X-Pause-Ms` the delay
-before each event or before a plain answer, `X-Fault` a fault that applies only to the first arrival of each request:
+before each event or before a plain answer, `X-Padding` the bytes that follow the text of a plain answer, `X-Fault` a fault that
+applies only to the first arrival of each request:
 
 refuse (503 with Not-Executed), misdirect (421), fail (500), foreign (another request's answer precedes the answer), extra
 (another request's answer follows the answer), close-ended (no length; the connection close ends the answer), truncate (the
@@ -134,6 +135,7 @@
     async def answer(self, request, request_id, fault, writer):
         await asyncio.sleep(float(request.headers.get("x-pause-ms", "0")) / 1000)
         body = f"{self.name} {request.method} {request.path} {len(request.body)}".encode()
+        body += b" " * int(request.headers.get("x-padding", "0"))
         if fault == "fail":
             writer.write(self.complete_response(request_id, b"failed", 500))
         elif fault == "foreign":
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -61,8 +61,9 @@
 class PlatformFleet(fleet.Fleet):
     """A fleet of the platform's processes; fleet.Fleet provides the handling of processes, files and timeouts."""
 
-    def __init__(self, routers=2, engines=3, plain_workers=2):
+    def __init__(self, routers=2, engines=3, plain_workers=2, memory_mb=MEMORY_LIMIT_MB, file_descriptors=FILE_DESCRIPTOR_LIMIT):
         super().__init__(routers=0, engines=0, services=0)
+        self.memory_mb, self.file_descriptors = memory_mb, file_descriptors
         ports = fleet.free_ports(4)
         ports[2:] = sorted(ports[2:])
         self.routers = [EntryRouter(index + 1, DOMAINS[index % len(DOMAINS)], ports) for index in range(routers)]
@@ -130,8 +131,8 @@
 frontend = "{router.address}:{router.caller_port}"
 readiness = "{router.address}:{router.readiness_port}"
 [limits]
-file_descriptors = {FILE_DESCRIPTOR_LIMIT}
-memory_mb = {MEMORY_LIMIT_MB}
+file_descriptors = {self.file_descriptors}
+memory_mb = {self.memory_mb}
 [bounds]
 revocation_ms = 5000
 grace_period_s = 8
