Bound what callers hold together, their connections and those of operators

Cause: each request was within its limit, but nothing bounded all of them. An announced body reserved its size, an idle connection held 16 KiB, and a full set of silent connections shut out new callers until their timeouts. The time limit for heads was not in force: Beast parses a head as a whole, so the read that should have seen its first bytes ended only with the whole head.

held_memory counts bytes by owner and names the owner to drop; answer_memory now uses it, too. The callers duty drops the request that has held the most for the longest time: 503 as not run if it was never passed on, else a closed connection. waiting_order says which connection makes room for a new caller. Connections to endpoints are bounded by the descriptors, operators' by 16, and the routers learned from datagrams by 256. Requests are read into blocks, and the write queue has its own file.

--- a/src/kumquatbeam/codec/metrics_text.cpp
+++ b/src/kumquatbeam/codec/metrics_text.cpp
@@ -174,6 +174,12 @@
             "control_sent_frames_total", "counter", "Frames to other routers.", toDouble(report.controlFramesSent));
         out.single("control_received_bytes_total", "counter", "Bytes of frames from other routers.",
             toDouble(report.controlBytesReceived));
+        out.single("caller_held_bytes", "gauge", "Bytes of requests and of replies that callers have not read.",
+            toDouble(report.callerHeldBytes));
+        out.family(
+            "callers_dropped_total", "counter", "Requests and connections of callers dropped, by what was short.");
+        out.sample({ { "short", "memory" } }, toDouble(report.callersDroppedForMemory));
+        out.sample({ { "short", "connections" } }, toDouble(report.callersDroppedForConnections));
         out.family("peer_connected", "gauge", "Whether a listed router is connected.");
         for (const auto& row : report.peers)
             out.sample({ { "peer", row.peer.value } }, row.isConnected ? 1 : 0);
--- a/src/kumquatbeam/codec/status_json.cpp
+++ b/src/kumquatbeam/codec/status_json.cpp
@@ -37,6 +37,9 @@
         { "control_bytes_sent", report.controlBytesSent },
         { "control_frames_sent", report.controlFramesSent },
         { "control_bytes_received", report.controlBytesReceived },
+        { "caller_held_bytes", report.callerHeldBytes },
+        { "callers_dropped_for_memory", report.callersDroppedForMemory },
+        { "callers_dropped_for_connections", report.callersDroppedForConnections },
     };
     json["pools"] = nlohmann::ordered_json::array();
     for (const auto& pool : report.pools)
--- a/src/kumquatbeam/controllers/decision_event.hpp
+++ b/src/kumquatbeam/controllers/decision_event.hpp
@@ -10,9 +10,11 @@
 #include "kumquatbeam/types/time.hpp"
 #include "kumquatbeam/types/units.hpp"
 
+#include <cstdint>
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -144,6 +146,14 @@
     std::set<entry_vm_id> peers;
 };
 
+/// Connections or their requests were dropped, since all of them took too much.
+struct connections_dropped {
+    /// Name in logs of the part that dropped them.
+    std::string_view part;
+    failure_kind cause = failure_kind::None;
+    std::uint64_t count = 0;
+};
+
 /// All replies to callers have been written and all caller connections are closed.
 struct caller_connections_closed { };
 
@@ -220,11 +230,11 @@
 struct directory_changed { };
 
 /// Events handled by the decisions duty.
-using decision_event
-    = std::variant<request_arrived, request_admitted, request_refused, request_ended, request_abandoned, attempt_ended,
-        endpoint_noticed, answer_begun, load_observed, routes_observed, directory_observed, source_lost,
-        source_regained, source_faulty, settings_reloaded, routes_changed, fleet_load_changed, directory_changed,
-        document_published, members_published, document_accepted, membership_changed, peer_connected, peer_lost,
-        peer_received, status_requested, shutdown_requested, caller_connections_closed, peer_connections_closed>;
+using decision_event = std::variant<request_arrived, request_admitted, request_refused, request_ended,
+    request_abandoned, attempt_ended, endpoint_noticed, answer_begun, load_observed, routes_observed,
+    directory_observed, source_lost, source_regained, source_faulty, settings_reloaded, routes_changed,
+    fleet_load_changed, directory_changed, document_published, members_published, document_accepted, membership_changed,
+    peer_connected, peer_lost, peer_received, status_requested, shutdown_requested, connections_dropped,
+    caller_connections_closed, peer_connections_closed>;
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/fleet_controller.cpp
+++ b/src/kumquatbeam/controllers/fleet_controller.cpp
@@ -7,12 +7,18 @@
 
 namespace {
 
+    /// Routers that are known at most. Several times the largest fleet, and few enough that their loads, each from one
+    /// datagram of at most 64 KiB, stay within the memory of a small router.
+    constexpr std::size_t memberLimit = 256;
+
     /// Placeholder id of a router at a seed address, used until its first heartbeat arrives.
     entry_vm_id seedPeerId(const std::string& address)
     {
         return { "seed " + address };
     }
 
+    constexpr std::chrono::seconds fullLogPeriod { 1 };
+
     /// Heartbeat period for a number of known routers. Within its bounds it grows with the fleet, so that the rate of
     /// heartbeats that a router receives stays constant.
     std::chrono::milliseconds heartbeatPeriodFor(std::size_t others)
@@ -83,6 +89,8 @@
 {
     if (heartbeat.from == m_settings.self)
         return;
+    if (!m_members.contains(heartbeat.from) && !canAddMember(context))
+        return;
     auto& known = m_members[heartbeat.from];
     const bool isNewIncarnation = known.incarnation != heartbeat.incarnation;
     if (!isNewIncarnation && heartbeat.sequence <= known.sequence)
@@ -119,13 +127,24 @@
 
 void fleet_controller::addKnownRouter(const known_router& router, decision_context& context)
 {
-    if (router.id == m_settings.self || m_members.contains(router.id))
+    if (router.id == m_settings.self || m_members.contains(router.id) || !canAddMember(context))
         return;
     m_members.emplace(router.id,
         member { .id = router.id, .address = router.address, .removeAt = context.now + silentRouterRetention });
     m_havePeersChanged = true;
 }
 
+bool fleet_controller::canAddMember(decision_context& context)
+{
+    if (m_members.size() < memberLimit)
+        return true;
+    if (context.now >= m_fullLoggedAt + fullLogPeriod) {
+        m_fullLoggedAt = context.now;
+        context.log.failed(name(), { failure_kind::ValueOutOfRange, "known routers", "", std::to_string(memberLimit) });
+    }
+    return false;
+}
+
 void fleet_controller::countLoad(member& known, std::int64_t sign)
 {
     if (known.isLoadCounted == (sign > 0))
--- a/src/kumquatbeam/controllers/fleet_controller.hpp
+++ b/src/kumquatbeam/controllers/fleet_controller.hpp
@@ -91,6 +91,7 @@
     void setSeeds(std::vector<std::string>);
     void receiveHeartbeat(const fleet_heartbeat&, decision_context&);
     void addKnownRouter(const known_router&, decision_context&);
+    bool canAddMember(decision_context&);
     void countLoad(member&, std::int64_t sign);
     void expire(decision_context&);
     void sendHeartbeats(decision_context&);
@@ -103,6 +104,8 @@
     std::vector<std::string> m_seeds;
     const load_source* m_loadSource = nullptr;
     std::map<entry_vm_id, member> m_members;
+    /// When it was last logged that no more routers can be known.
+    time_point m_fullLoggedAt {};
     std::unordered_map<wire_key, load> m_peerLoad;
     account_shares::rate_map m_peerRates;
     std::uint64_t m_sequence = 0;
--- a/src/kumquatbeam/controllers/reply_controller.cpp
+++ b/src/kumquatbeam/controllers/reply_controller.cpp
@@ -2,12 +2,16 @@
 
 #include "kumquatbeam/filters/request_filter.hpp"
 
+#include <string>
 #include <utility>
 
 namespace kumquatbeam {
 
 void reply_controller::handle(const decision_event& event, decision_context& context)
 {
+    // Each duty reports its drops at most once a second.
+    if (const auto* dropped = std::get_if<connections_dropped>(&event))
+        context.log.failed(dropped->part, { dropped->cause, "dropped", std::to_string(dropped->count) });
     const auto* ended = std::get_if<request_ended>(&event);
     // An order has no caller; its reply goes to the requests that wait for it.
     if (!ended || !ended->reply || ended->context.order)
--- a/src/kumquatbeam/controllers/reply_controller.hpp
+++ b/src/kumquatbeam/controllers/reply_controller.hpp
@@ -4,7 +4,7 @@
 
 namespace kumquatbeam {
 
-/// Sends the reply of each ended request to its origin. It has no state.
+/// Sends the reply of each ended request to its origin, and logs which connections were dropped. It has no state.
 class reply_controller final : public controller {
 public:
     std::string_view name() const override { return "reply"; }
--- a/src/kumquatbeam/controllers/status_report.hpp
+++ b/src/kumquatbeam/controllers/status_report.hpp
@@ -70,6 +70,10 @@
     std::uint64_t controlBytesSent = 0;
     std::uint64_t controlFramesSent = 0;
     std::uint64_t controlBytesReceived = 0;
+    /// Bytes that are held for callers, and what was dropped since the start of the process, since there was too much.
+    std::uint64_t callerHeldBytes = 0;
+    std::uint64_t callersDroppedForMemory = 0;
+    std::uint64_t callersDroppedForConnections = 0;
     std::vector<pool_status> pools;
     std::vector<account_status> accounts;
     std::vector<endpoint_state> endpoints;
--- a/src/kumquatbeam/duties/callers_duty.cpp
+++ b/src/kumquatbeam/duties/callers_duty.cpp
@@ -5,7 +5,9 @@
 #include "kumquatbeam/sessions/connect.hpp"
 #include "kumquatbeam/types/event_handlers.hpp"
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace kumquatbeam {
 
@@ -23,6 +25,23 @@
     /// connection, and the old one would count towards the limit until its idle timeout.
     constexpr double nearLimitFraction = 0.5;
 
+    /// Part of the memory for requests that those in progress may hold, which are not dropped. The rest is for requests
+    /// that are being read, and for small ones.
+    constexpr double inProgressFraction = 0.75;
+
+    /// Bodies of the largest size that the memory for requests holds at least, so that a single one is always served:
+    /// one in progress, held twice, in the part for requests in progress, and one that is being read.
+    constexpr std::uint64_t leastBodies = 4;
+
+    /// Waiting connections that are tried for a new caller; some may be about to begin a request or have just got a
+    /// reply.
+    constexpr int closeTries = 8;
+
+    /// Connections above the caller limit, for the load balancer's checks and while no connection can be closed.
+    constexpr std::size_t spareConnections = 8;
+
+    constexpr std::chrono::seconds dropReportPeriod { 1 };
+
 } // namespace
 
 callers_duty::callers_duty(
@@ -34,8 +53,11 @@
     , m_arrivals(m_duty.context())
     , m_acceptor(m_duty.context())
     , m_readinessAcceptor(m_duty.context())
+    , m_memory({}, rankBySizeAndTime)
 {
-    m_limits.body = { static_cast<std::uint64_t>(settings.bodyLimit) };
+    auto limits = m_limits;
+    limits.body = { static_cast<std::uint64_t>(settings.bodyLimit) };
+    setLimits(limits);
 }
 
 absl::Status callers_duty::listen()
@@ -93,12 +115,107 @@
     m_links.endpoints->post(chunk_consumed { id });
 }
 
+void callers_duty::recordHeldBytes(caller_session& session, byte_count fixed, byte_count droppable)
+{
+    const auto now = clock::now();
+    m_memory.record(&session, fixed, droppable, now);
+    while (const auto owner = m_memory.ownerToDrop(now)) {
+        m_memory.release(*owner);
+        const auto found = m_sessions.find(*owner);
+        const auto dropped = found == m_sessions.end() ? nullptr : found->second.lock();
+        if (!dropped)
+            continue;
+        dropped->dropForMemory();
+        reportDrop(failure_kind::MemoryShort);
+    }
+    if (m_links.callerResources)
+        m_links.callerResources->heldBytes = m_memory.held().value;
+}
+
+bool callers_duty::canPassOn(byte_count held)
+{
+    // The rest of the memory suffices for the highest number of small requests, so large ones never shut them out.
+    const auto small = (1 - inProgressFraction) * static_cast<double>(m_memory.limit().value)
+        / static_cast<double>(m_settings.requestLimit);
+    if (static_cast<double>(held.value) <= small || m_memory.canFix(held, inProgressFraction))
+        return true;
+    reportDrop(failure_kind::MemoryShort);
+    return false;
+}
+
+void callers_duty::recordWaiting(caller_session& session, bool isWaiting)
+{
+    if (!isWaiting) {
+        m_waiting.end(&session);
+        return;
+    }
+    m_waiting.begin(&session);
+    if (m_isAcceptPaused && canAcceptCaller())
+        resumeAccepting();
+}
+
 void callers_duty::onConnectionClosed(caller_session& session)
 {
     m_sessions.erase(&session);
+    m_waiting.end(&session);
+    m_memory.release(&session);
+    resumeAccepting();
+    reportWhenFinished();
+}
+
+void callers_duty::resumeAccepting()
+{
     if (m_acceptor.is_open() && std::exchange(m_isAcceptPaused, false))
         accept(m_acceptor);
-    reportWhenFinished();
+}
+
+bool callers_duty::closeLongestWaiting()
+{
+    const auto now = clock::now();
+    std::vector<caller_session*> candidates;
+    for (auto* key : m_waiting.longestFirst()) {
+        candidates.push_back(key);
+        if (candidates.size() == closeTries)
+            break;
+    }
+    for (auto* key : candidates) {
+        const auto found = m_sessions.find(key);
+        const auto session = found == m_sessions.end() ? nullptr : found->second.lock();
+        if (!session) {
+            m_waiting.end(key);
+            continue;
+        }
+        if (!session->closeIfWaiting(now))
+            continue;
+        reportDrop(failure_kind::ConnectionsExhausted);
+        return true;
+    }
+    return false;
+}
+
+void callers_duty::setLimits(const caller_limits& limits)
+{
+    m_limits = limits;
+    m_memory.setLimit(
+        { std::max(static_cast<std::uint64_t>(m_settings.requestMemoryLimit), leastBodies * limits.body.value) });
+}
+
+void callers_duty::reportDrop(failure_kind cause)
+{
+    auto& unreported = m_unreportedDrops[cause];
+    unreported.part = "callers";
+    unreported.cause = cause;
+    ++unreported.count;
+    if (m_links.callerResources)
+        ++(cause == failure_kind::MemoryShort ? m_links.callerResources->droppedForMemory
+                                              : m_links.callerResources->droppedForConnections);
+    const auto now = clock::now();
+    if (now < m_dropsReportedAt + dropReportPeriod)
+        return;
+    m_dropsReportedAt = now;
+    // Drops that a full ring does not report are counted by the counters.
+    for (const auto& [kind, dropped] : std::exchange(m_unreportedDrops, {}))
+        static_cast<void>(m_links.decisions->tryPost(dropped));
 }
 
 bool callers_duty::canAcceptCaller()
@@ -106,7 +223,8 @@
     const auto limit = static_cast<std::size_t>(m_settings.callerLimit);
     if (m_sessions.size() >= limit)
         std::erase_if(m_sessions, [](const auto& entry) { return entry.second.expired(); });
-    return m_sessions.size() < limit;
+    // A connection that waits makes room for a new caller once there is one.
+    return m_sessions.size() < limit || (m_sessions.size() < limit + spareConnections && !m_waiting.isEmpty());
 }
 
 bool callers_duty::isNearCallerLimit() const
@@ -146,9 +264,17 @@
 
 void callers_duty::startSession(asio::ip::tcp::socket socket)
 {
+    const auto limit = static_cast<std::size_t>(m_settings.callerLimit);
+    while (m_sessions.size() >= limit && closeLongestWaiting()) { }
+    if (m_sessions.size() >= limit + spareConnections) {
+        reportDrop(failure_kind::ConnectionsExhausted);
+        return;
+    }
     setConnectionOptions(socket, unacknowledgedTimeout);
     const auto session = std::make_shared<caller_session>(std::move(socket), *this);
-    m_sessions.emplace(session.get(), session);
+    // The address may be that of a session that ended without a call of `onConnectionClosed`.
+    m_memory.release(session.get());
+    m_sessions.insert_or_assign(session.get(), session);
     session->start();
 }
 
@@ -215,7 +341,7 @@
         [&](answer_chunk&& chunk) { deliver(std::move(chunk)); },
         [&](answer_end&& end) { deliver(end); },
         [&](set_ready&& ready) { m_isReady = ready.isReady; },
-        [&](set_caller_limits&& changed) { m_limits = changed.limits; },
+        [&](set_caller_limits&& changed) { setLimits(changed.limits); },
         [&](begin_drain&&) { m_isDraining = true; },
         [&](stop_accepting&&) { stopAccepting(); },
         [&](end_requests&& ended) { endRequests(ended.reply); },
--- a/src/kumquatbeam/duties/callers_duty.hpp
+++ b/src/kumquatbeam/duties/callers_duty.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "kumquatbeam/controllers/command.hpp"
+#include "kumquatbeam/decisions/held_memory.hpp"
+#include "kumquatbeam/decisions/waiting_order.hpp"
 #include "kumquatbeam/duties/duty_links.hpp"
 #include "kumquatbeam/runtime/arrival_monitor.hpp"
 #include "kumquatbeam/runtime/duty.hpp"
@@ -10,6 +12,7 @@
 #include <absl/status/status.h>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <map>
 #include <memory>
 #include <unordered_map>
 
@@ -33,6 +36,9 @@
     bool submit(request_id, call_request) override;
     void abandon(request_id) override;
     void acknowledgeChunk(request_id) override;
+    void recordHeldBytes(caller_session&, byte_count fixed, byte_count droppable) override;
+    bool canPassOn(byte_count held) override;
+    void recordWaiting(caller_session&, bool isWaiting) override;
     void onConnectionClosed(caller_session&) override;
     bool isReady() const override { return m_isReady && !m_isDraining; }
     bool isDraining() const override { return m_isDraining; }
@@ -43,6 +49,10 @@
 
     void accept(boost::asio::ip::tcp::acceptor&);
     bool canAcceptCaller();
+    void resumeAccepting();
+    bool closeLongestWaiting();
+    void setLimits(const caller_limits&);
+    void reportDrop(failure_kind);
     void acceptQueued(boost::asio::ip::tcp::acceptor&);
     void startSession(boost::asio::ip::tcp::socket);
     void stopAccepting();
@@ -62,6 +72,11 @@
     std::unordered_map<request_id, std::shared_ptr<caller_session>> m_inProgress;
     /// All open connections, by address of the session.
     std::unordered_map<caller_session*, std::weak_ptr<caller_session>> m_sessions;
+    /// Memory of requests, incomplete or in progress, and of replies that callers have not read.
+    held_memory<caller_session*> m_memory;
+    waiting_order<caller_session*> m_waiting;
+    std::map<failure_kind, connections_dropped> m_unreportedDrops;
+    time_point m_dropsReportedAt {};
     std::uint64_t m_lastRequest = 0;
     /// Whether accepting is paused because the caller limit is reached.
     bool m_isAcceptPaused = false;
--- a/src/kumquatbeam/duties/endpoints_duty.cpp
+++ b/src/kumquatbeam/duties/endpoints_duty.cpp
@@ -73,6 +73,7 @@
 void endpoints_duty::keepConnection(std::shared_ptr<endpoint_connection> connection, const keep_alive_policy& policy)
 {
     m_connections.put(std::move(connection), policy.idleTimeout, clock::now());
+    limitIdleConnections();
     if (!std::exchange(m_isSweeping, true))
         sweepConnections();
 }
@@ -121,9 +122,22 @@
 void endpoints_duty::startAttempt(start_attempt attempt)
 {
     const auto id = attempt.id;
+    if (m_attempts.size() >= static_cast<std::size_t>(m_settings.endpointConnectionLimit)) {
+        // Another router may have connections left, so the endpoint is not at fault.
+        m_links.decisions->post(attempt_ended {
+            .id = id, .endpoint = attempt.to.endpoint, .problem = failure { failure_kind::ConnectionsExhausted } });
+        return;
+    }
     const auto session = std::make_shared<endpoint_session>(m_duty.context(), *this, std::move(attempt));
     m_attempts.emplace(id, session);
     session->start();
+    limitIdleConnections();
+}
+
+void endpoints_duty::limitIdleConnections()
+{
+    const auto limit = static_cast<std::size_t>(m_settings.endpointConnectionLimit);
+    m_connections.keepAtMost(limit - std::min(limit, m_attempts.size()));
 }
 
 void endpoints_duty::allowOnly(const std::vector<endpoint_address>& endpoints)
--- a/src/kumquatbeam/duties/endpoints_duty.hpp
+++ b/src/kumquatbeam/duties/endpoints_duty.hpp
@@ -43,6 +43,7 @@
 
     void handle(endpoint_command);
     void startAttempt(start_attempt);
+    void limitIdleConnections();
     void allowOnly(const std::vector<endpoint_address>&);
     void updateProbes(const probe_endpoints&);
     void sweepConnections();
--- a/src/kumquatbeam/duties/operators_duty.cpp
+++ b/src/kumquatbeam/duties/operators_duty.cpp
@@ -16,6 +16,16 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
+namespace {
+
+    /// Connections of operators: several tools and people at once, each with one query. The connections' buffers and
+    /// responses take the router's memory.
+    constexpr std::size_t operatorLimit = 16;
+
+    constexpr std::chrono::seconds dropReportPeriod { 1 };
+
+} // namespace
+
 operators_duty::operators_duty(const router_settings& settings, duty_links& links, callbacks signalCallbacks)
     : m_settings(settings)
     , m_links(links)
@@ -75,6 +85,9 @@
     report.controlBytesSent = m_links.controlTraffic->bytesSent;
     report.controlFramesSent = m_links.controlTraffic->framesSent;
     report.controlBytesReceived = m_links.controlTraffic->bytesReceived;
+    report.callerHeldBytes = m_links.callerResources->heldBytes;
+    report.callersDroppedForMemory = m_links.callerResources->droppedForMemory;
+    report.callersDroppedForConnections = m_links.callerResources->droppedForConnections;
     report.rings = { { "decisions", m_links.decisions->refused() }, { "callers", m_links.callers->refused() },
         { "endpoints", m_links.endpoints->refused() }, { "peers", m_links.peers->refused() },
         { "operators", m_links.operators->refused() } };
@@ -91,11 +104,41 @@
         if (error == asio::error::operation_aborted)
             return;
         if (!error)
-            runContained("operators", [&] { std::make_shared<operator_session>(std::move(socket), *this)->start(); });
+            runContained("operators", [&] { startSession(std::move(socket)); });
         accept();
     });
 }
 
+void operators_duty::startSession(asio::ip::tcp::socket socket)
+{
+    if (m_sessions.longestFirst().size() >= operatorLimit) {
+        // A session without a pending operation would be gone, so the oldest one is still alive. Its handlers end it.
+        auto* oldest = m_sessions.longestFirst().front();
+        m_sessions.end(oldest);
+        oldest->close();
+        reportDrop();
+    }
+    const auto session = std::make_shared<operator_session>(std::move(socket), *this);
+    m_sessions.begin(session.get());
+    session->start();
+}
+
+void operators_duty::reportDrop()
+{
+    ++m_dropped.count;
+    const auto now = clock::now();
+    if (now < m_dropsReportedAt + dropReportPeriod)
+        return;
+    m_dropsReportedAt = now;
+    if (m_links.decisions->tryPost(m_dropped))
+        m_dropped.count = 0;
+}
+
+void operators_duty::onEnded(operator_session& session)
+{
+    m_sessions.end(&session);
+}
+
 void operators_duty::awaitSignal()
 {
     m_signals.async_wait([this](const boost::system::error_code& error, int number) {
--- a/src/kumquatbeam/duties/operators_duty.hpp
+++ b/src/kumquatbeam/duties/operators_duty.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kumquatbeam/controllers/command.hpp"
+#include "kumquatbeam/decisions/waiting_order.hpp"
 #include "kumquatbeam/duties/duty_links.hpp"
 #include "kumquatbeam/runtime/duty.hpp"
 #include "kumquatbeam/sessions/operator_session.hpp"
@@ -44,6 +45,7 @@
 
 private:
     void handle(const std::shared_ptr<operator_session>&, boost::beast::http::verb, const std::string& target) override;
+    void onEnded(operator_session&) override;
 
     /// Target of a query and the format of its answer.
     struct query_format {
@@ -61,6 +63,8 @@
 
     void answer(status_reply);
     void accept();
+    void startSession(boost::asio::ip::tcp::socket);
+    void reportDrop();
     void awaitSignal();
     void handleSignal(int number);
     void endProcess(exit_reason);
@@ -69,6 +73,11 @@
     const router_settings& m_settings;
     duty_links& m_links;
     callbacks m_callbacks;
+    /// Open connections, the oldest first. Declared before what keeps sessions alive, since their ends are recorded
+    /// here.
+    waiting_order<operator_session*> m_sessions;
+    connections_dropped m_dropped { .part = "operators", .cause = failure_kind::ConnectionsExhausted };
+    time_point m_dropsReportedAt {};
     duty<operator_command> m_duty;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::signal_set m_signals;
--- a/src/kumquatbeam/duties/router_process.cpp
+++ b/src/kumquatbeam/duties/router_process.cpp
@@ -19,7 +19,7 @@
     , m_platform(settings, m_links)
 {
     m_links = { &m_decisions.inbox(), &m_callers.inbox(), &m_endpoints.inbox(), &m_peers.inbox(), &m_operators.inbox(),
-        &m_controlTraffic };
+        &m_controlTraffic, &m_callerResources };
 }
 
 absl::Status router_process::listen()
--- a/src/kumquatbeam/duties/router_process.hpp
+++ b/src/kumquatbeam/duties/router_process.hpp
@@ -31,6 +31,7 @@
 private:
     std::promise<operators_duty::exit_reason> m_exitReason;
     control_traffic_counters m_controlTraffic;
+    caller_resource_counters m_callerResources;
     duty_links m_links;
     native_caller_dialect m_callerDialect;
     native_endpoint_dialect m_endpointDialect;
--- a/src/kumquatbeam/sessions/answer_memory.hpp
+++ b/src/kumquatbeam/sessions/answer_memory.hpp
@@ -1,15 +1,14 @@
 #pragma once
 
+#include "kumquatbeam/decisions/held_memory.hpp"
 #include "kumquatbeam/types/ids.hpp"
 #include "kumquatbeam/types/units.hpp"
 
 #include <optional>
-#include <unordered_map>
 
 namespace kumquatbeam {
 
-/// Counts the bytes of incomplete answers that a router holds, over all attempts. A limit for each answer is not
-/// enough: many that never end would together exceed the memory of the process.
+/// Counts the bytes of incomplete answers that a router holds, over all attempts.
 class answer_memory {
 public:
     /// All answers together may hold `limit`.
@@ -22,12 +21,10 @@
     /// Forgets the answer to a call.
     void release(request_id);
 
-    byte_count held() const { return m_total; }
+    byte_count held() const { return m_memory.held(); }
 
 private:
-    byte_count m_limit;
-    byte_count m_total {};
-    std::unordered_map<request_id, byte_count> m_held;
+    held_memory<request_id> m_memory;
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/sessions/block_buffer.cpp
+++ b/src/kumquatbeam/sessions/block_buffer.cpp
@@ -35,8 +35,11 @@
         return {};
     auto whole = std::move(blocks.front());
     whole.reserve(size);
-    for (std::size_t block = 1; block < blocks.size(); ++block)
+    for (std::size_t block = 1; block < blocks.size(); ++block) {
         whole.append(blocks[block]);
+        // Freed at once, so that the bytes are not held twice.
+        std::string().swap(blocks[block]);
+    }
     return whole;
 }
 
--- a/src/kumquatbeam/sessions/caller_session.cpp
+++ b/src/kumquatbeam/sessions/caller_session.cpp
@@ -1,18 +1,10 @@
 #include "kumquatbeam/sessions/caller_session.hpp"
 
-#include "kumquatbeam/filters/request_filter.hpp"
-#include "kumquatbeam/runtime/containment.hpp"
-#include "kumquatbeam/runtime/deadline_timer.hpp"
-
-#include <boost/asio/write.hpp>
-#include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <algorithm>
 #include <chrono>
 #include <sstream>
-#include <string_view>
 #include <utility>
 
 namespace kumquatbeam {
@@ -25,19 +17,11 @@
 
     constexpr std::chrono::seconds writeTimeout { 60 };
 
-    /// Time after which a caller may retry at an overloaded router.
-    constexpr std::chrono::milliseconds overloadRetryDelay { 500 };
-
-    constexpr std::chrono::seconds discardTimeout { 2 };
-    constexpr unsigned http11 = 11;
-
-    constexpr std::size_t pipelinedReadSize = 4096;
-
-    /// Bytes of pipelined requests from which no more are read while a request is in progress.
-    constexpr std::size_t pipelinedLimit = messageBufferLimit - pipelinedReadSize;
+    /// Largest body that is copied behind the head of its reply, so that both are written at once.
+    constexpr std::size_t joinedBodyLimit = 16 * 1024;
 
-    /// Fits a typical request, so that a single read suffices.
-    constexpr std::size_t initialBufferSize = 16 * 1024;
+    /// Time for which a caller may leave a reply unread before its connection counts as waiting.
+    constexpr std::chrono::seconds unreadReplyTime { 1 };
 
 } // namespace
 
@@ -50,7 +34,6 @@
 
 void caller_session::start()
 {
-    m_buffer.reserve(initialBufferSize);
     awaitRequest();
 }
 
@@ -77,18 +60,20 @@
     m_hasSentHead = true;
     std::ostringstream head;
     head << m_delegate.dialect().encodeAnswerHead(command, m_httpVersion);
-    enqueue({ outgoing::framing::Plain, head.str() });
+    enqueue({ outgoing_bytes::framing::Plain, head.str() });
 }
 
 void caller_session::deliver(answer_chunk command)
 {
-    enqueue({ outgoing::framing::Chunk, std::move(command.bytes) });
+    enqueue({ outgoing_bytes::framing::Chunk, std::move(command.bytes) });
 }
 
 void caller_session::deliver(const answer_end&)
 {
     m_isReplyQueued = true;
-    enqueue({ outgoing::framing::LastChunk });
+    m_requestBytes = {};
+    beginWaiting();
+    enqueue({ outgoing_bytes::framing::LastChunk });
 }
 
 void caller_session::closeIfIdle()
@@ -99,221 +84,47 @@
         closeConnection();
 }
 
-void caller_session::endUnexpectedly()
+void caller_session::dropForMemory()
 {
-    if (m_request)
+    if (m_isReading && m_parser) {
+        // The read in progress still uses the parser, so the refusal follows when the read has ended.
+        m_isDropped = true;
+        m_delegate.recordHeldBytes(*this, {}, {});
+        m_stream.cancel();
+        // Bytes that have just arrived may start another read before the one that was cancelled ends.
+        asio::post(m_stream.get_executor(), contained(shared_from_this(), [](caller_session& self) {
+            if (self.m_isDropped && !self.m_isClosed)
+                self.m_stream.cancel();
+        }));
+    } else if (m_request && !m_isReplyQueued) {
         abandonRequest();
-    else
-        closeConnection();
-}
-
-template <typename Step> auto caller_session::handlerOf(Step step)
-{
-    return contained(
-        shared_from_this(), [step](caller_session& self, beast::error_code error, auto...) { (self.*step)(error); });
-}
-
-void caller_session::awaitRequest()
-{
-    m_isReading = true;
-    m_parser.reset();
-    if (m_buffer.size() > 0) {
-        readRequest();
-        return;
-    }
-    // The limits may change while the connection is idle, so they are read when a request begins, and the timeout is
-    // checked again when it expires.
-    m_idleSince = clock::now();
-    m_stream.socket().async_wait(asio::socket_base::wait_read, handlerOf(&caller_session::onReadableWhenIdle));
-    armIdleTimer();
-}
-
-void caller_session::onReadableWhenIdle(beast::error_code error)
-{
-    if (m_isClosed)
-        return;
-    m_idleTimer.cancel();
-    if (error)
-        closeConnection();
-    else
-        readRequest();
-}
-
-void caller_session::armIdleTimer()
-{
-    m_idleTimer.expires_at(m_idleSince + m_delegate.limits().idleTimeout);
-    m_idleTimer.async_wait(handlerOf(&caller_session::onIdleTimer));
-}
-
-void caller_session::onIdleTimer(beast::error_code error)
-{
-    // A request may have begun after the timer had expired.
-    if (error || m_isClosed || m_parser || !m_isReading)
-        return;
-    if (clock::now() < m_idleSince + m_delegate.limits().idleTimeout)
-        armIdleTimer();
-    else
+    } else {
         closeConnection();
-}
-
-void caller_session::readRequest()
-{
-    m_parser.emplace();
-    m_parser->eager(true);
-    m_parser->header_limit(
-        static_cast<std::uint32_t>(std::min<std::uint64_t>(m_delegate.limits().header.value, headLimit)));
-    m_parser->body_limit(m_delegate.limits().body.value);
-    m_stream.expires_after(m_delegate.limits().idleTimeout);
-    http::async_read_some(m_stream, m_buffer, *m_parser, handlerOf(&caller_session::onFirstBytes));
-}
-
-void caller_session::onFirstBytes(beast::error_code error)
-{
-    if (error || m_parser->is_header_done()) {
-        onHeader(error);
-        return;
     }
-    m_stream.expires_after(m_delegate.limits().headerTimeout);
-    http::async_read_header(m_stream, m_buffer, *m_parser, handlerOf(&caller_session::onHeader));
 }
 
-void caller_session::onHeader(beast::error_code error)
+bool caller_session::closeIfWaiting(time_point now)
 {
-    if (error || m_parser->is_done()) {
-        onRead(error);
-        return;
-    }
-    m_stream.expires_after(m_delegate.limits().idleTimeout);
-    const auto expectation = m_parser->get()[http::field::expect];
-    if (beast::iequals(expectation, "100-continue"))
-        sendContinue();
-    else
-        readBody();
-}
-
-void caller_session::sendContinue()
-{
-    static constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
-    asio::async_write(m_stream, asio::buffer(continueResponse), handlerOf(&caller_session::onContinueSent));
-}
-
-void caller_session::onContinueSent(beast::error_code error)
-{
-    if (error)
-        onRead(error);
-    else
-        readBody();
-}
-
-void caller_session::readBody()
-{
-    http::async_read(m_stream, m_buffer, *m_parser, handlerOf(&caller_session::onRead));
+    beast::error_code error;
+    const bool isIdle = m_isReading && !m_parser;
+    if (isIdle && m_stream.socket().available(error) > 0)
+        return false;
+    if (m_request && !m_isReplyQueued)
+        return false;
+    if (m_isReplyQueued && !m_outgoing.isEmpty() && now < m_waitingSince + unreadReplyTime)
+        return false;
+    closeConnection();
+    return true;
 }
 
-void caller_session::onRead(beast::error_code error)
+void caller_session::endUnexpectedly()
 {
-    m_isReading = false;
-    m_stream.expires_never();
-    if (!error) {
-        handleRequest();
-        return;
-    }
-    const bool isBadRequest = error.category() == make_error_code(http::error::bad_method).category()
-        && error != http::error::end_of_stream && error != http::error::partial_message;
-    if (isBadRequest)
-        refuse(error);
+    if (m_request)
+        abandonRequest();
     else
         closeConnection();
 }
 
-void caller_session::refuse(beast::error_code error)
-{
-    failure problem { failure_kind::MalformedRequest, "header", error.message() };
-    if (error == http::error::body_limit)
-        problem = { failure_kind::RequestTooLarge, "body" };
-    else if (error == http::error::header_limit)
-        problem = { failure_kind::HeaderTooLarge, "header" };
-    m_hasUnreadInput = true;
-    m_discardUntil = clock::now() + discardTimeout;
-    writeReply(notRun(std::move(problem)), false);
-}
-
-void caller_session::handleRequest()
-{
-    auto request = m_parser->release();
-    m_httpVersion = request.version();
-    m_keepAlive = request.keep_alive();
-    m_hasSentHead = false;
-    m_isReplyQueued = false;
-    if (m_httpVersion < http11) {
-        writeReply(notRun({ failure_kind::MalformedRequest, "version", "HTTP/1.0", "HTTP/1.1" }), false);
-        return;
-    }
-    const auto& dialect = m_delegate.dialect();
-    if (request.target() == dialect.readinessTarget().data()) {
-        writeReply(
-            m_delegate.isReady() ? call_reply { .kind = reply_kind::Answered } : notRun({ failure_kind::NotReady }),
-            m_keepAlive);
-        return;
-    }
-    auto call = dialect.decode(std::move(request), m_delegate.earliestArrival());
-    if (!call.ok()) {
-        // If the framing of a request is in doubt, the start of the next one on the connection is too.
-        writeReply(notRun(failureOf(call.status()).value_or(failure { failure_kind::MalformedRequest })), false);
-        return;
-    }
-    // An overloaded router may read a request whose caller has disconnected meanwhile.
-    if (!readPipelined()) {
-        closeConnection();
-        return;
-    }
-    // Another delivery of the same order may be in flight, so refusing this one does not prove that the order
-    // did not run.
-    const failure overload { failure_kind::RingFull };
-    auto refusal = call->ticket ? unknownOutcome(overload) : notRun(overload);
-    refusal.retryAt = clock::now() + overloadRetryDelay;
-    m_request = m_delegate.registerRequest(shared_from_this());
-    if (!m_request || !m_delegate.submit(*m_request, std::move(*call))) {
-        writeReply(refusal, m_keepAlive);
-        return;
-    }
-    watchForDisconnect();
-}
-
-void caller_session::watchForDisconnect()
-{
-    m_stream.socket().async_wait(asio::socket_base::wait_read,
-        contained(shared_from_this(), [watched = *m_request](caller_session& self, beast::error_code error) {
-            self.onReadable(watched, error);
-        }));
-}
-
-void caller_session::onReadable(request_id watched, beast::error_code error)
-{
-    if (error || m_request != watched)
-        return;
-    if (!readPipelined())
-        abandonRequest();
-    else if (m_buffer.size() <= pipelinedLimit)
-        watchForDisconnect();
-}
-
-bool caller_session::readPipelined()
-{
-    // The next request may arrive before this one is answered. Its bytes are read, since otherwise a disconnect that
-    // follows them would go unnoticed.
-    if (m_buffer.size() > pipelinedLimit)
-        return true;
-    beast::error_code error;
-    if (!m_stream.socket().non_blocking())
-        m_stream.socket().non_blocking(true, error);
-    const auto received = m_stream.socket().read_some(m_buffer.prepare(pipelinedReadSize), error);
-    if (error && error != asio::error::would_block)
-        return false;
-    m_buffer.commit(error ? 0 : received);
-    return true;
-}
-
 void caller_session::abandonRequest()
 {
     m_delegate.abandon(*m_request);
@@ -324,36 +135,33 @@
 {
     m_keepAlive = keepAlive && !m_delegate.isDraining() && !m_delegate.isNearCallerLimit();
     m_isReplyQueued = true;
-    std::ostringstream text;
-    text << m_delegate.dialect().encodeReply(reply, m_httpVersion, m_keepAlive, clock::now());
-    enqueue({ outgoing::framing::Plain, text.str() });
+    m_requestBytes = {};
+    beginWaiting();
+    auto response = m_delegate.dialect().encodeReply(reply, m_httpVersion, m_keepAlive, clock::now());
+    std::ostringstream head;
+    head << response.base();
+    auto text = head.str();
+    if (response.body().size() <= joinedBodyLimit)
+        text += std::exchange(response.body(), {});
+    enqueue({ outgoing_bytes::framing::Plain, std::move(text) });
+    if (!response.body().empty())
+        enqueue({ outgoing_bytes::framing::Plain, std::move(response.body()) });
 }
 
-void caller_session::enqueue(outgoing item)
+void caller_session::enqueue(outgoing_bytes item)
 {
     if (m_isClosed)
         return;
-    m_outgoing.push_back(std::move(item));
-    if (m_outgoing.size() == 1)
+    const bool isFirst = m_outgoing.push(std::move(item));
+    recordHeldBytes();
+    if (isFirst && !m_isClosed)
         writeNext();
 }
 
 void caller_session::writeNext()
 {
-    auto whenWritten = handlerOf(&caller_session::onWritten);
     m_stream.expires_after(writeTimeout);
-    const auto& item = m_outgoing.front();
-    switch (item.as) {
-    case outgoing::framing::Plain:
-        asio::async_write(m_stream, asio::buffer(item.bytes), std::move(whenWritten));
-        break;
-    case outgoing::framing::Chunk:
-        asio::async_write(m_stream, http::make_chunk(asio::buffer(item.bytes)), std::move(whenWritten));
-        break;
-    case outgoing::framing::LastChunk:
-        asio::async_write(m_stream, http::make_chunk_last(), std::move(whenWritten));
-        break;
-    }
+    m_outgoing.writeNext(m_stream, handlerOf(&caller_session::onWritten));
 }
 
 void caller_session::onWritten(beast::error_code error)
@@ -368,11 +176,13 @@
             closeConnection();
         return;
     }
-    const bool wasChunk = m_outgoing.front().as == outgoing::framing::Chunk;
-    m_outgoing.pop_front();
+    const bool wasChunk = m_outgoing.pop() == outgoing_bytes::framing::Chunk;
+    recordHeldBytes();
+    if (m_isClosed)
+        return;
     if (wasChunk && m_request)
         m_delegate.acknowledgeChunk(*m_request);
-    if (!m_outgoing.empty())
+    if (!m_outgoing.isEmpty())
         writeNext();
     else if (m_isReplyQueued)
         finishRequest();
@@ -390,22 +200,23 @@
         closeConnection();
 }
 
-void caller_session::discardRest()
+void caller_session::beginWaiting()
 {
-    // Closing while the caller still sends would reset the connection before the caller has read the refusal.
-    beast::error_code ignored;
-    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    m_stream.expires_after(timeLeftUntil(m_discardUntil));
-    m_buffer.clear();
-    m_stream.async_read_some(m_buffer.prepare(messageBufferLimit), handlerOf(&caller_session::onDiscarded));
+    m_waitingSince = clock::now();
+    m_delegate.recordWaiting(*this, true);
 }
 
-void caller_session::onDiscarded(beast::error_code error)
+void caller_session::recordHeldBytes()
 {
-    if (error)
-        closeConnection();
-    else
-        discardRest();
+    if (m_isClosed || m_isDropped)
+        return;
+    auto droppable = m_outgoing.heldBytes();
+    droppable.value += m_buffer.capacity();
+    if (m_parser) {
+        droppable.value += m_parser->get().body().heldBytes();
+        droppable += m_fieldBytes;
+    }
+    m_delegate.recordHeldBytes(*this, m_requestBytes, droppable);
 }
 
 void caller_session::closeConnection()
--- a/src/kumquatbeam/sessions/caller_session.hpp
+++ b/src/kumquatbeam/sessions/caller_session.hpp
@@ -2,8 +2,11 @@
 
 #include "kumquatbeam/codec/caller_dialect.hpp"
 #include "kumquatbeam/controllers/command.hpp"
+#include "kumquatbeam/runtime/containment.hpp"
 #include "kumquatbeam/runtime/deadline_timer.hpp"
+#include "kumquatbeam/sessions/block_body.hpp"
 #include "kumquatbeam/sessions/message_buffer.hpp"
+#include "kumquatbeam/sessions/write_queue.hpp"
 #include "kumquatbeam/types/ids.hpp"
 #include "kumquatbeam/types/time.hpp"
 
@@ -12,7 +15,6 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 
-#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -43,6 +45,17 @@
     /// Reports to the endpoint session that a chunk was written to the caller.
     virtual void acknowledgeChunk(request_id) = 0;
 
+    /// Records the memory that the session holds now: `fixed` for a request that was passed on, `droppable` for what is
+    /// freed if the session is dropped. May call `dropForMemory`, also of this session.
+    virtual void recordHeldBytes(caller_session&, byte_count fixed, byte_count droppable) = 0;
+
+    /// Whether the memory for requests suffices to pass on one that holds so many bytes until it has ended.
+    virtual bool canPassOn(byte_count held) = 0;
+
+    /// Records whether the connection waits for its caller: for a request, for the rest of one, or for a reply to be
+    /// read. Repeated when the caller begins a request, since the wait begins anew then.
+    virtual void recordWaiting(caller_session&, bool isWaiting) = 0;
+
     /// Called once, when the connection was closed.
     virtual void onConnectionClosed(caller_session&) = 0;
 
@@ -86,46 +99,49 @@
     /// Closes the connection unless a request is being read, is in progress or is being answered.
     void closeIfIdle();
 
+    /// Ends what holds memory that can be freed: refuses a request that has not been read completely, and otherwise
+    /// closes the connection.
+    void dropForMemory();
+
+    /// Closes the connection if it waits for its caller, so that another caller can connect. Returns whether it did.
+    bool closeIfWaiting(time_point now);
+
     /// Closes the connection after an unexpected error in a handler.
     void endUnexpectedly();
 
 private:
-    /// Bytes to be written, and their framing.
-    struct outgoing {
-        enum class framing {
-            Plain,
-            Chunk,
-            LastChunk,
-        };
-        framing as = framing::Plain;
-        std::string bytes {};
-    };
-
     /// A completion handler that calls the member function.
-    template <typename Step> auto handlerOf(Step);
+    template <typename Step> auto handlerOf(Step step)
+    {
+        return contained(shared_from_this(),
+            [step](caller_session& self, boost::beast::error_code error, auto...) { (self.*step)(error); });
+    }
 
     void awaitRequest();
     void onReadableWhenIdle(boost::beast::error_code);
     void armIdleTimer();
     void onIdleTimer(boost::beast::error_code);
     void readRequest();
-    void onFirstBytes(boost::beast::error_code);
     void onHeader(boost::beast::error_code);
     void sendContinue();
     void onContinueSent(boost::beast::error_code);
     void readBody();
+    void onBodyRead(boost::beast::error_code);
     void onRead(boost::beast::error_code);
-    void refuse(boost::beast::error_code);
+    void refuseDropped();
+    void refuse(const call_reply&);
     void handleRequest();
     void watchForDisconnect();
     void onReadable(request_id watched, boost::beast::error_code);
     bool readPipelined();
     void abandonRequest();
     void writeReply(const call_reply&, bool keepAlive);
-    void enqueue(outgoing);
+    void enqueue(outgoing_bytes);
     void writeNext();
     void onWritten(boost::beast::error_code);
     void finishRequest();
+    void beginWaiting();
+    void recordHeldBytes();
     void discardRest();
     void onDiscarded(boost::beast::error_code);
     void closeConnection();
@@ -136,15 +152,22 @@
     time_point m_idleSince {};
     boost::beast::flat_buffer m_buffer { messageBufferLimit };
     /// Empty until the first bytes of a request have arrived.
-    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+    std::optional<boost::beast::http::request_parser<block_body>> m_parser;
     std::optional<request_id> m_request;
-    std::deque<outgoing> m_outgoing;
+    write_queue m_outgoing;
+    /// Memory of the fields of the request that is being read.
+    byte_count m_fieldBytes {};
+    /// Memory of the request that was passed on.
+    byte_count m_requestBytes {};
+    time_point m_waitingSince {};
     unsigned m_httpVersion = 11;
     bool m_keepAlive = false;
     bool m_hasSentHead = false;
     bool m_isReplyQueued = false;
     bool m_hasUnreadInput = false;
     bool m_isReading = false;
+    /// Whether the request that is being read must be refused for lack of memory.
+    bool m_isDropped = false;
     bool m_isClosed = false;
     time_point m_discardUntil = never;
 };
--- a/src/kumquatbeam/sessions/connection_pool.cpp
+++ b/src/kumquatbeam/sessions/connection_pool.cpp
@@ -59,6 +59,22 @@
     });
 }
 
+void connection_pool::keepAtMost(std::size_t limit)
+{
+    std::size_t count = 0;
+    for (const auto& [endpoint, connections] : m_idle)
+        count += connections.size();
+    for (; count > limit; --count) {
+        // The connections to one endpoint are in the order in which they became idle.
+        const auto oldest = std::min_element(m_idle.begin(), m_idle.end(), [](const auto& first, const auto& second) {
+            return first.second.front()->idleSince < second.second.front()->idleSince;
+        });
+        oldest->second.pop_front();
+        if (oldest->second.empty())
+            m_idle.erase(oldest);
+    }
+}
+
 void connection_pool::closeExpired(time_point now)
 {
     for (auto& [endpoint, connections] : m_idle) {
--- a/src/kumquatbeam/sessions/connection_pool.hpp
+++ b/src/kumquatbeam/sessions/connection_pool.hpp
@@ -35,6 +35,9 @@
     /// Closes the connections that have been idle for too long.
     void closeExpired(time_point now);
 
+    /// Closes the connections that have been idle for the longest time, until at most `limit` are left.
+    void keepAtMost(std::size_t limit);
+
     bool isEmpty() const { return m_idle.empty(); }
 
 private:
--- a/src/kumquatbeam/sessions/operator_session.cpp
+++ b/src/kumquatbeam/sessions/operator_session.cpp
@@ -25,6 +25,11 @@
 {
 }
 
+operator_session::~operator_session()
+{
+    m_delegate.onEnded(*this);
+}
+
 void operator_session::start()
 {
     m_stream.expires_after(queryTimeout);
@@ -51,6 +56,8 @@
     m_response.body() = std::move(body);
     m_response.keep_alive(false);
     m_response.prepare_payload();
+    // An operator that does not read the response would hold it without end.
+    m_stream.expires_after(queryTimeout);
     http::async_write(m_stream, m_response,
         contained(
             shared_from_this(), [](operator_session& self, beast::error_code, std::size_t) { self.m_stream.close(); }));
--- a/src/kumquatbeam/sessions/operator_session.hpp
+++ b/src/kumquatbeam/sessions/operator_session.hpp
@@ -25,6 +25,9 @@
     /// Answers the query, now or later, by a call of `respond`.
     virtual void handle(const std::shared_ptr<operator_session>&, boost::beast::http::verb, const std::string& target)
         = 0;
+
+    /// Called when the session ends, from its destructor.
+    virtual void onEnded(operator_session&) = 0;
 };
 
 /// A query by an operator; the connection is closed after the response.
@@ -34,10 +37,17 @@
     static constexpr std::string_view partName = "operator-session";
 
     operator_session(boost::asio::ip::tcp::socket, operator_session_delegate&);
+    ~operator_session();
+
+    operator_session(const operator_session&) = delete;
+    operator_session& operator=(const operator_session&) = delete;
 
     void start();
     void respond(boost::beast::http::status, const std::string& type, std::string body);
 
+    /// Closes the connection, so that another operator can connect.
+    void close() { m_stream.close(); }
+
     /// Closes the connection after an unexpected error in a handler.
     void endUnexpectedly();
 
--- a/src/kumquatbeam/settings/router_settings.cpp
+++ b/src/kumquatbeam/settings/router_settings.cpp
@@ -38,6 +38,8 @@
             { "body-limit", "bytes", { 1, 1'073'741'824 }, false, "largest request body, and largest stored reply" }),
         settingRow<&router_settings::answerMemoryLimit>({ "answer-memory", "bytes", { 1'048'576, 1'099'511'627'776 },
             false, "memory for incomplete answers of endpoints, over all calls" }),
+        settingRow<&router_settings::requestMemoryLimit>({ "request-memory", "bytes", { 1'048'576, 1'099'511'627'776 },
+            false, "memory for callers' requests and unread replies, over all callers" }),
         settingRow<&router_settings::drainNotice>(
             { "drain-notice-ms", "ms", { 0, 600'000 }, false, "time for the load balancer to notice a shutdown" }),
         settingRow<&router_settings::drainLimit>(
--- a/src/kumquatbeam/settings/router_settings.hpp
+++ b/src/kumquatbeam/settings/router_settings.hpp
@@ -45,8 +45,13 @@
     std::int64_t bodyLimit = 1'048'576;
     /// Bytes that the incomplete answers of endpoints may hold together.
     std::int64_t answerMemoryLimit = 67'108'864;
-    /// Maximum number of open caller connections; further callers wait in the system's listen backlog.
+    /// Bytes that the requests of callers and the replies that they have not read may hold together. At least four
+    /// times the largest body. By default, what the largest number of requests with the largest body hold.
+    std::int64_t requestMemoryLimit = 4'294'967'296;
+    /// Maximum number of open caller connections. Beyond it, the one that has waited longest for its caller is closed.
     std::int64_t callerLimit = 20'000;
+    /// Maximum number of connections to endpoints, in use and idle. An attempt beyond it ends without being sent.
+    std::int64_t endpointConnectionLimit = 1'000'000;
     /// Time for the load balancer to notice that the router is no longer ready.
     std::chrono::milliseconds drainNotice { 1000 };
     /// Time after which a shutdown no longer waits for calls in progress.
--- a/src/kumquatbeam/types/failure.hpp
+++ b/src/kumquatbeam/types/failure.hpp
@@ -25,6 +25,8 @@
     NoEndpoint,
     KeysStale,
     RingFull,
+    MemoryShort,
+    ConnectionsExhausted,
     DeadlinePassed,
     TicketRequired,
     TicketUnknown,
