--- a/src/kumquatbeam/controllers/fleet_controller.cpp
+++ b/src/kumquatbeam/controllers/fleet_controller.cpp
@@ -7,12 +7,18 @@
 
 namespace {
 
+    /// Routers that are known at most. Several times the largest fleet, and few enough that their loads, each from one
+    /// datagram of at most 64 KiB, stay within the memory of a small router.
+    constexpr std::size_t memberLimit = 4096;
+
     /// Placeholder id of a router at a seed address, used until its first heartbeat arrives.
     entry_vm_id seedPeerId(const std::string& address)
     {
         return { "seed " + address };
     }
 
+    constexpr std::chrono::seconds fullLogPeriod { 1 };
+
     /// Heartbeat period for a number of known routers. Within its bounds it grows with the fleet, so that the rate of
     /// heartbeats that a router receives stays constant.
     std::chrono::milliseconds heartbeatPeriodFor(std::size_t others)
@@ -99,6 +105,8 @@
 {
     if (heartbeat.from == m_settings.self)
         return;
+    if (!m_members.contains(heartbeat.from) && !canAddMember(context))
+        return;
     const auto [found, isNew] = m_members.try_emplace(heartbeat.from);
     auto& known = found->second;
     if (isNew)
@@ -142,7 +150,7 @@
 
 void fleet_controller::addKnownRouter(const known_router& router, decision_context& context)
 {
-    if (router.id == m_settings.self)
+    if (router.id == m_settings.self || (!m_members.contains(router.id) && !canAddMember(context)))
         return;
     const auto removeAt = context.now + silentRouterRetention;
     const auto [found, isNew]
@@ -155,6 +163,17 @@
     ++m_membersVersion;
 }
 
+bool fleet_controller::canAddMember(decision_context& context)
+{
+    if (m_members.size() < memberLimit)
+        return true;
+    if (context.now >= m_fullLoggedAt + fullLogPeriod) {
+        m_fullLoggedAt = context.now;
+        context.log.failed(name(), { failure_kind::ValueOutOfRange, "known routers", "", std::to_string(memberLimit) });
+    }
+    return false;
+}
+
 void fleet_controller::countLoad(member& known, std::int64_t sign)
 {
     if (known.isLoadCounted == (sign > 0))
