Take return times back, and learn speeds only where endpoints report a slowdown

Learning is limited to pools whose endpoints report how long work takes, so that earlier deployments are served as before.

--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -155,11 +155,8 @@
 void dispatch_controller::recordRequested(const request_context& request, time_point now)
 {
     auto* pool = request.matched ? poolOf(request) : nullptr;
-    if (!pool)
-        return;
-    pool->recordRequested(request, now);
-    if (request.returnAt)
-        pool->recordReturn(request, *request.returnAt);
+    if (pool)
+        pool->recordRequested(request, now);
 }
 
 bool dispatch_controller::start(running_call& call, decision_context& context)
--- a/src/kumquatbeam/controllers/dispatch_controller.hpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.hpp
@@ -37,9 +37,6 @@
     /// When the first endpoint may be used again, if all usable endpoints of the pool have asked for quiet.
     std::optional<time_point> quietUntil(const pool_id&, time_point now) const;
 
-    /// When a caller that is refused now is told to retry, within the window.
-    time_point returnTimeFor(const request_context&, return_schedule::return_window, time_point now) const;
-
     /// How long the longest recent call of a route took until its whole answer; zero if none was answered lately.
     std::chrono::milliseconds longestLately(const route_id&, time_point now) const;
 
--- a/src/kumquatbeam/controllers/dispatch_pool.cpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.cpp
@@ -13,12 +13,6 @@
 
 namespace {
 
-    /// Cost of a call in the schedule of returning callers. Calls without a prompt count alike.
-    token_count returnCostOf(const request_context& request)
-    {
-        return std::max(request.call->prompt.cost(), token_count { 1 });
-    }
-
     std::unique_ptr<placement_strategy> strategyFor(const routed_pool& pool)
     {
         if (pool.engine)
@@ -95,7 +89,7 @@
         const auto load = m_fleet.peerLoad(row.key);
         row.peerRunning = load.running;
         row.peerPrefillTokens = load.prefillTokens;
-        if (const auto* report = m_fleet.peerRate(row.key))
+        if (const auto* report = m_learnsSpeeds ? m_fleet.peerRate(row.key) : nullptr)
             m_speeds.recordReport(row, indexOf(row), report->rate, report->number, report->at);
     }
     if (m_membersVersion != m_fleet.membersVersion()) {
@@ -235,20 +229,6 @@
     return m_strategy->place({ request.call->prompt, ownDomain, waitLimitOf(request, now) }, endpoints, now);
 }
 
-time_point dispatch_pool::returnTimeFor(
-    const request_context& request, return_schedule::return_window window, time_point now) const
-{
-    // The key differs for each request, so that the callers of a slot do not return at the same moment.
-    constexpr double keyRange = 4'294'967'296.0;
-    const auto spread = static_cast<double>(wireKeyOf(request.call->callerRequestId).value) / keyRange;
-    return m_returns.timeFor(returnCostOf(request), window, m_started.perSecond(now), spread, now);
-}
-
-void dispatch_pool::recordReturn(const request_context& request, time_point returnAt)
-{
-    m_returns.reserve(returnCostOf(request), returnAt);
-}
-
 void dispatch_pool::recordRequested(const request_context& request, time_point now)
 {
     if (!request.account.value.empty())
@@ -258,7 +238,6 @@
 void dispatch_pool::recordAdmitted(const request_context& request, time_point now)
 {
     m_retries.recordRequest(now);
-    m_started.add(static_cast<double>(returnCostOf(request).value), now);
     if (!request.account.value.empty())
         m_shares.recordAdmitted(request.account, request.call->prompt.cost(), now);
 }
@@ -296,20 +275,21 @@
 void dispatch_pool::recordSpeed(
     const endpoint_id& endpoint, std::int64_t incarnation, const prefill_sample& sample, time_point now)
 {
-    if (auto* row = findIn(m_endpoints, endpoint, incarnation))
+    auto* row = m_learnsSpeeds ? findIn(m_endpoints, endpoint, incarnation) : nullptr;
+    if (row)
         m_speeds.recordSample(*row, indexOf(*row), sample, now);
 }
 
 void dispatch_pool::recordLoad(const endpoint_load& load, std::int64_t incarnation, time_point now)
 {
-    auto* row = findIn(m_endpoints, load.endpoint, incarnation);
+    auto* row = load.slowdown ? findIn(m_endpoints, load.endpoint, incarnation) : nullptr;
     if (!row)
         return;
+    m_learnsSpeeds = true;
     row->reportedCalls = load.waiting > 0 ? load.running + load.waiting : 0;
-    row->reportedSlowdown = load.slowdown.value_or(1);
+    row->reportedSlowdown = *load.slowdown;
     row->reportUntil = now + reportRetention;
-    if (load.slowdown)
-        m_speeds.recordSlowdown(*row, indexOf(*row), *load.slowdown, now);
+    m_speeds.recordSlowdown(*row, indexOf(*row), *load.slowdown, now);
 }
 
 void dispatch_pool::recordOutcome(const attempt_ended& ended, std::int64_t incarnation, time_point now)
--- a/src/kumquatbeam/controllers/dispatch_pool.hpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.hpp
@@ -4,7 +4,6 @@
 #include "kumquatbeam/controllers/fleet_controller.hpp"
 #include "kumquatbeam/controllers/metrics_report.hpp"
 #include "kumquatbeam/decisions/admission/account_shares.hpp"
-#include "kumquatbeam/decisions/admission/return_schedule.hpp"
 #include "kumquatbeam/decisions/endpoint_health.hpp"
 #include "kumquatbeam/decisions/placement/cold_allowance.hpp"
 #include "kumquatbeam/decisions/placement/cold_endpoints.hpp"
@@ -111,12 +110,6 @@
     /// Requested and admitted rates of the accounts with recent requests at this router.
     std::vector<std::pair<wire_key, account_rates>> rates(time_point now) const { return m_shares.rates(now); }
 
-    /// When a caller that is refused now is told to retry, within the window.
-    time_point returnTimeFor(const request_context&, return_schedule::return_window, time_point now) const;
-
-    /// Records that a caller is told to return then.
-    void recordReturn(const request_context&, time_point returnAt);
-
     /// Withdraws one retry from the budget; returns false if the budget is exhausted.
     bool tryWithdrawRetry(time_point now) { return m_retries.tryWithdraw(m_fleet.maxServingRouters(), now); }
 
@@ -178,12 +171,12 @@
     /// Incarnations that are no longer announced, with calls that still run there.
     std::vector<endpoint_view> m_formerEndpoints;
     pool_speeds m_speeds;
+    /// Whether an endpoint has reported how long work takes on its machine. Otherwise the machines are not shared, the
+    /// default rate is used, and reported loads do not count.
+    bool m_learnsSpeeds = false;
     endpoint_health m_health;
     shared_retry_budget m_retries;
     account_shares m_shares;
-    /// Tokens of the calls that this router starts.
-    decayed_rate m_started;
-    return_schedule m_returns;
     /// Endpoints at whose address another one has answered, and when each may be used again.
     std::map<endpoint_id, time_point> m_replaced;
     std::map<endpoint_id, quiet_period> m_quiet;
--- a/src/kumquatbeam/controllers/dispatch_queries.cpp
+++ b/src/kumquatbeam/controllers/dispatch_queries.cpp
@@ -16,13 +16,6 @@
     return pool == m_pools.end() ? std::nullopt : pool->second.quietUntil(now);
 }
 
-time_point dispatch_controller::returnTimeFor(
-    const request_context& request, return_schedule::return_window window, time_point now) const
-{
-    const auto pool = m_pools.find(request.matched->pool);
-    return pool == m_pools.end() ? window.earliest : pool->second.returnTimeFor(request, window, now);
-}
-
 bool dispatch_controller::hasUsableEndpoint(const pool_id& id, time_point now) const
 {
     const auto pool = m_pools.find(id);
--- a/src/kumquatbeam/filters/load_shedding_filter.cpp
+++ b/src/kumquatbeam/filters/load_shedding_filter.cpp
@@ -1,6 +1,7 @@
 #include "kumquatbeam/filters/load_shedding_filter.hpp"
 
 #include "kumquatbeam/controllers/dispatch_controller.hpp"
+#include "kumquatbeam/types/wire_key.hpp"
 
 #include <algorithm>
 
@@ -8,17 +9,22 @@
 
 namespace {
 
-    /// Shortest retry delay of a refused caller.
+    /// @{ Shortest retry delay of a refused caller, and the jitter that keeps callers from retrying at the same time.
     constexpr std::chrono::milliseconds shortestDelay { 300 };
+    constexpr std::chrono::milliseconds delayJitter { 700 };
+    /// @}
 
     /// Limit of the retry delay as a fraction of the time until the caller's deadline; callers give up on longer
     /// delays.
     constexpr double retryDelayFraction = 0.3;
 
-    return_schedule::return_window returnWindowOf(const request_context& context, time_point now)
+    time_point retryTimeOf(const request_context& context, time_point now)
     {
+        const auto jitter = static_cast<std::uint64_t>(delayJitter.count());
+        const auto delay
+            = shortestDelay + std::chrono::milliseconds(wireKeyOf(context.call->callerRequestId).value % jitter);
         const auto longest = std::chrono::duration_cast<clock::duration>((context.deadline - now) * retryDelayFraction);
-        return { now + std::min<clock::duration>(shortestDelay, longest), now + longest };
+        return now + std::min<clock::duration>(delay, longest);
     }
 
 } // namespace
@@ -32,9 +38,7 @@
     const auto kind = m_dispatch.hasUsableEndpoint(pool, now) ? failure_kind::PoolBusy : failure_kind::NoEndpoint;
     auto reply = notRun({ kind, pool.value });
     const auto quietUntil = m_dispatch.quietUntil(pool, now);
-    if (!quietUntil)
-        context.returnAt = m_dispatch.returnTimeFor(context, returnWindowOf(context, now), now);
-    reply.retryAt = quietUntil ? quietUntil : context.returnAt;
+    reply.retryAt = quietUntil ? *quietUntil : retryTimeOf(context, now);
     return reply;
 }
 
--- a/src/kumquatbeam/types/request_context.hpp
+++ b/src/kumquatbeam/types/request_context.hpp
@@ -61,8 +61,6 @@
     time_point sendBefore = never;
     /// The placement that a filter found for the call.
     std::optional<placement> chosenPlacement {};
-    /// When the caller is told to retry, if a filter refused the call for want of room.
-    std::optional<time_point> returnAt {};
 };
 
 } // namespace kumquatbeam
