--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -94,6 +94,8 @@
     const shared_retry_budget::limits limits { m_bounds.retryRatio, m_bounds.retryAllowance, m_bounds.retryWindow };
     for (const auto& [id, description] : table->pools) {
         auto& pool = m_pools.try_emplace(id, description, limits, m_fleet).first->second;
+        if (m_mayLearnSpeeds)
+            pool.allowSpeedLearning();
         pool.refresh(*table, m_bounds, m_directory);
         pool.updatePeerLoad();
     }
--- a/src/kumquatbeam/controllers/dispatch_controller.hpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.hpp
@@ -23,6 +23,9 @@
     dispatch_controller(const route_bounds&, const failure_domain_id& ownDomain, const route_controller&,
         const directory_controller&, const fleet_controller&);
 
+    /// Lets the pools learn the speeds of their endpoints; must be called before the first event.
+    void allowSpeedLearning() { m_mayLearnSpeeds = true; }
+
     std::string_view name() const override { return "dispatch"; }
     void handle(const decision_event&, decision_context&) override;
     time_point nextDeadline() const override;
@@ -108,6 +111,7 @@
     std::unordered_map<request_id, running_call> m_running;
     std::map<route_id, longest_duration> m_durations;
     time_point m_nextWarmAt = never;
+    bool m_mayLearnSpeeds = false;
 };
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/dispatch_pool.cpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.cpp
@@ -282,7 +282,7 @@
 
 void dispatch_pool::recordLoad(const endpoint_load& load, std::int64_t incarnation, time_point now)
 {
-    auto* row = load.slowdown ? findIn(m_endpoints, load.endpoint, incarnation) : nullptr;
+    auto* row = m_mayLearnSpeeds && load.slowdown ? findIn(m_endpoints, load.endpoint, incarnation) : nullptr;
     if (!row)
         return;
     m_learnsSpeeds = true;
--- a/src/kumquatbeam/controllers/dispatch_pool.hpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.hpp
@@ -43,6 +43,10 @@
 
     dispatch_pool(const routed_pool&, const shared_retry_budget::limits&, const fleet_controller&);
 
+    /// Lets the pool learn the speeds of its endpoints, and count the loads that they report, once one of them has
+    /// reported a slowdown.
+    void allowSpeedLearning() { m_mayLearnSpeeds = true; }
+
     /// Updates the endpoints from the announced ones; incarnations that remain keep their load and learned rate.
     void refresh(const route_table&, const route_bounds&, const directory_controller&);
 
@@ -171,6 +175,7 @@
     /// Incarnations that are no longer announced, with calls that still run there.
     std::vector<endpoint_view> m_formerEndpoints;
     pool_speeds m_speeds;
+    bool m_mayLearnSpeeds = false;
     /// Whether an endpoint has reported how long work takes on its machine. Otherwise the machines are not shared, the
     /// default rate is used, and reported loads do not count.
     bool m_learnsSpeeds = false;
--- a/src/kumquatbeam/controllers/routing_core.hpp
+++ b/src/kumquatbeam/controllers/routing_core.hpp
@@ -22,6 +22,9 @@
     routing_core(
         router_settings, route_bounds, std::vector<std::string> seeds, incarnation_id, command_sink&, decision_log&);
 
+    /// Lets the router learn the speeds of endpoints; must be called before the first event.
+    void allowSpeedLearning() { m_dispatch.allowSpeedLearning(); }
+
     void handle(const decision_event& event, time_point now) override { m_loop.handle(event, now); }
     time_point nextDeadline() const override { return m_loop.nextDeadline(); }
     void onDeadline(time_point now) override { m_loop.onDeadline(now); }
--- a/tests/unit/cold_allowance.tests.cpp
+++ b/tests/unit/cold_allowance.tests.cpp
@@ -83,7 +83,7 @@
 // Guards against a cold endpoint that crashes because routers send to it without knowing of each other's requests.
 TEST_CASE("All routers together never send more to a cold endpoint than the limit in any second [cold_allowance]")
 {
-    const auto all = routersFrom(1, routerCount);
+    auto all = routersFrom(1, routerCount);
     fleet::known_routers knownTo;
     std::size_t count = routerCount;
     SUBCASE("if all know each other")
--- a/tests/unit/cold_endpoints_routing.tests.cpp
+++ b/tests/unit/cold_endpoints_routing.tests.cpp
@@ -273,9 +273,7 @@
 TEST_CASE_FIXTURE(cold_fixture, "The load of an endpoint belongs to its incarnation [cold]")
 {
     announce({ endpoint("b1", "book", 1) });
-    std::vector<request_id> old;
-    for (int i = 0; i < 3; ++i)
-        old.push_back(sendRequest("/order/1"));
+    std::vector<request_id> old { sendRequest("/order/1"), sendRequest("/order/1"), sendRequest("/order/1") };
     CHECK(runningAt("b1") == 3);
     announce({ endpoint("b1", "book", 2) });
     CHECK(runningAt("b1") == 0);
--- a/tests/unit/dispatch_speeds.tests.cpp
+++ b/tests/unit/dispatch_speeds.tests.cpp
@@ -18,6 +18,7 @@
 public:
     engine_fixture()
     {
+        core.allowSpeedLearning();
         publishRoutes();
         announceEngine(1);
     }
@@ -125,6 +126,23 @@
     CHECK(log.placements.back().wait == 0us);
 }
 
+// On a deployment with scarce engines, learned rates refused more callers and broke the fairness between accounts.
+TEST_CASE_FIXTURE(routing_fixture, "Speeds are not learned unless the settings allow it [endpoint_speed]")
+{
+    publishAll();
+    const prompt_metadata prompt { .model = "m", .promptTokens = { 10'000 }, .outputLimit = { 100 } };
+    for (int i = 0; i < 30; ++i) {
+        const auto id = sendRequest("/quote/1", "key", prompt);
+        const auto endpoint = lastAttempt()->to.endpoint;
+        pass(std::chrono::milliseconds(500));
+        handle(answer_begun { id, endpoint_load { endpoint, 1, 0, false, 2.0 } });
+        handle(attemptEnd(id, attempt_outcome::Completed));
+    }
+    handle(status_requested { { 1 } });
+    for (const auto& row : commands.all<status_reply>().back().report.endpoints)
+        CHECK(row.prefillRate == 0);
+}
+
 // Deployments whose endpoints report no slowdown were served worse with learned rates.
 TEST_CASE_FIXTURE(engine_fixture, "Without reported slowdowns the default rate is used [endpoint_speed]")
 {
@@ -143,6 +161,7 @@
 
 TEST_CASE_FIXTURE(routing_fixture, "The load in a plain answer counts for placement [endpoint_speed]")
 {
+    core.allowSpeedLearning();
     publish(table(1));
     announce({ endpoint("b1", "book"), endpoint("b2", "book") });
     const auto id = sendRequest("/lookup/1");
