--- a/tests/unit/dispatch_speeds.tests.cpp
+++ b/tests/unit/dispatch_speeds.tests.cpp
@@ -16,9 +16,10 @@
 /// A router with one engine, whose requests take as long as the engine's rate requires.
 class engine_fixture : public routing_fixture {
 public:
-    engine_fixture()
+    explicit engine_fixture(bool isLearning = true)
     {
-        core.allowSpeedLearning();
+        if (isLearning)
+            core.allowSpeedLearning();
         publishRoutes();
         announceEngine(1);
     }
@@ -80,6 +81,14 @@
     }
 };
 
+/// The same router with default settings.
+struct default_fixture : engine_fixture {
+    default_fixture()
+        : engine_fixture(false)
+    {
+    }
+};
+
 } // namespace
 
 TEST_CASE_FIXTURE(engine_fixture, "Waits follow the speed that an engine has shown [endpoint_speed]")
@@ -127,20 +136,10 @@
 }
 
 // On a deployment with scarce engines, learned rates refused more callers and broke the fairness between accounts.
-TEST_CASE_FIXTURE(routing_fixture, "Speeds are not learned unless the settings allow it [endpoint_speed]")
+TEST_CASE_FIXTURE(default_fixture, "Speeds are not learned unless the settings allow it [endpoint_speed]")
 {
-    publishAll();
-    const prompt_metadata prompt { .model = "m", .promptTokens = { 10'000 }, .outputLimit = { 100 } };
-    for (int i = 0; i < 30; ++i) {
-        const auto id = sendRequest("/quote/1", "key", prompt);
-        const auto endpoint = lastAttempt()->to.endpoint;
-        pass(std::chrono::milliseconds(500));
-        handle(answer_begun { id, endpoint_load { endpoint, 1, 0, false, 2.0 } });
-        handle(attemptEnd(id, attempt_outcome::Completed));
-    }
-    handle(status_requested { { 1 } });
-    for (const auto& row : commands.all<status_reply>().back().report.endpoints)
-        CHECK(row.prefillRate == 0);
+    runRequests(157, 30);
+    CHECK(waitBehind(10'000) == 200ms);
 }
 
 // Deployments whose endpoints report no slowdown were served worse with learned rates.
--- a/tests/unit/sessions/caller_memory.tests.cpp
+++ b/tests/unit/sessions/caller_memory.tests.cpp
@@ -2,7 +2,7 @@
 
 #include <doctest/doctest.h>
 
-#include <tuple>
+#include <vector>
 
 using namespace kumquatbeam;
 using namespace kumquatbeam::testing;
@@ -16,17 +16,22 @@
     std::string smallChunks;
     for (int chunk = 0; chunk < 30'000; ++chunk)
         smallChunks += "1\r\nx\r\n";
-    for (const auto& [opening, least, most] :
-        { std::tuple { requestHead + "Content-Length: 1000000\r\n\r\n" + body, body.size(), std::size_t { 400'000 } },
-            std::tuple { requestHead + "Transfer-Encoding: chunked\r\n\r\n7a120\r\n" + body, body.size(),
-                std::size_t { 400'000 } },
-            std::tuple { requestHead + "Transfer-Encoding: chunked\r\n\r\n" + smallChunks, std::size_t { 30'000 },
-                std::size_t { 100'000 } },
-            std::tuple { requestHead + "X-Line: 1", std::size_t { 1 }, std::size_t { 17'000 } } }) {
+    struct incomplete_request {
+        std::string opening;
+        std::size_t least;
+        std::size_t most;
+    };
+    std::vector<incomplete_request> incomplete { { "Content-Length: 1000000\r\n\r\n", body.size(), 400'000 },
+        { "Transfer-Encoding: chunked\r\n\r\n7a120\r\n", body.size(), 400'000 },
+        { "Transfer-Encoding: chunked\r\n\r\n", 30'000, 100'000 }, { "X-Line: 1", 1, 17'000 } };
+    incomplete[0].opening += body;
+    incomplete[1].opening += body;
+    incomplete[2].opening += smallChunks;
+    for (const auto& request : incomplete) {
         const auto closedBefore = duty.closed;
-        const auto caller = call(opening);
-        REQUIRE(until([&] { return duty.mostDroppable.value >= least; }));
-        CHECK(duty.mostDroppable.value < most);
+        const auto caller = call(requestHead + request.opening);
+        REQUIRE(until([&] { return duty.mostDroppable.value >= request.least; }));
+        CHECK(duty.mostDroppable.value < request.most);
         REQUIRE(duty.lastRecorded);
         duty.lastRecorded->dropForMemory();
         CHECK(until([&] { return caller->received.find("503") != std::string::npos; }));
