--- a/tests/unit/sessions/early_answers.tests.cpp
+++ b/tests/unit/sessions/early_answers.tests.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <array>
 #include <chrono>
@@ -202,13 +204,12 @@
 
 TEST_CASE("An answer without length to a request that was read whole is complete [early_answers]")
 {
+    const auto answerToTheEnd = absl::StrCat(sealedHead, "\r\n", event);
     for (const auto delivery : deliveries) {
         for (int repetition = 0; repetition < repetitions; ++repetition) {
             CAPTURE(static_cast<int>(delivery));
-            answered_attempt({ .opening = sealedHead + "\r\n" + event, .closes = true }, delivery)
-                .checkCompleted(event);
-            answered_attempt({ .opening = sealedHead + "\r\n" + event, .endsSending = true }, delivery)
-                .checkCompleted(event);
+            answered_attempt({ .opening = answerToTheEnd, .closes = true }, delivery).checkCompleted(event);
+            answered_attempt({ .opening = answerToTheEnd, .endsSending = true }, delivery).checkCompleted(event);
         }
     }
 }
@@ -234,7 +235,7 @@
                     CAPTURE(framing);
                     CAPTURE(static_cast<int>(delivery));
                     const bool endsWithConnection = framing == framings.front();
-                    answered_attempt({ .opening = "HTTP/1.1 " + status + " Odd\r\n" + fields + framing,
+                    answered_attempt({ .opening = absl::StrCat("HTTP/1.1 ", status, " Odd\r\n", fields, framing),
                                          .closes = endsWithConnection },
                         delivery)
                         .checkBroken();
@@ -250,8 +251,8 @@
         for (const auto delivery : deliveries) {
             CAPTURE(status);
             CAPTURE(static_cast<int>(delivery));
-            answered_attempt({ .opening = "HTTP/1.1 " + status + " Odd\r\n" + sealedFields + "Content-Length: 0\r\n\r\n"
-                                     + sealedHead + framings[1] },
+            answered_attempt({ .opening = absl::StrCat("HTTP/1.1 ", status, " Odd\r\n", sealedFields,
+                                   "Content-Length: 0\r\n\r\n", sealedHead, framings[1]) },
                 delivery)
                 .checkBroken();
         }
@@ -264,10 +265,11 @@
         for (const auto delivery : deliveries) {
             CAPTURE(status);
             CAPTURE(static_cast<int>(delivery));
-            const auto interim = "HTTP/1.1 " + status + " Interim\r\n" + sealedFields;
-            answered_attempt({ .opening = interim + "\r\n" + sealedHead + framings[1] }, delivery)
+            const auto interim = absl::StrCat("HTTP/1.1 ", status, " Interim\r\n", sealedFields);
+            answered_attempt({ .opening = absl::StrCat(interim, "\r\n", sealedHead, framings[1]) }, delivery)
                 .checkCompleted(event);
-            answered_attempt({ .opening = interim + "Not-Executed: 1\r\n\r\n" + sealedHead + framings[3] }, delivery)
+            answered_attempt(
+                { .opening = absl::StrCat(interim, "Not-Executed: 1\r\n\r\n", sealedHead, framings[3]) }, delivery)
                 .checkCompleted(event);
             answered_attempt({ .opening = interim + "\r\n", .closes = true }, delivery).checkBroken();
             answered_attempt({ .opening = interim + "Not-Executed: 1\r\n\r\n", .closes = true }, delivery)
