--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -59,18 +60,20 @@
 def free_ports(count):
     """Free ports outside the range from which the kernel draws the ports of outgoing connections."""
     low = int(pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
-    ports, candidate = [], 20000 + os.getpid() % 5000
-    while len(ports) < count:
-        candidate += 1
-        if candidate >= low:
-            raise CannotRun("no free ports")
+    ports = []
+    for candidate in random.sample(range(min(10000, low - 1000), low), 500):
+        if len(ports) == count:
+            break
         with socket.socket() as probe:
             try:
                 probe.bind(("0.0.0.0", candidate))
             except OSError:
                 continue
         ports.append(candidate)
-    return ports
+    if len(ports) < count:
+        raise CannotRun("no free ports")
+    # The internal range is given by two ports in ascending order.
+    return sorted(ports)
 
 
 async def read_head(reader):
@@ -104,6 +107,8 @@
         self.items = {}
         self.revision = 1
         self.reads = 0
+        # Ports at which the store is no longer reachable.
+        self.refused_ports = set()
 
     def put(self, key, value):
         self.revision += 1
@@ -124,6 +129,8 @@
         try:
             while True:
                 line, _ = await read_head(reader)
+                if writer.get_extra_info("sockname")[1] in self.refused_ports:
+                    return
                 target = urllib.parse.urlsplit(line.split(" ")[1])
                 self.reads += 1
                 await asyncio.sleep(0.004)
@@ -375,13 +382,6 @@
             await asyncio.sleep(0.05)
         self.record.add(f"{router.name} is ready")
 
-    async def wait_logged(self, router, text, limit=3):
-        end = time.monotonic() + limit
-        while text not in router.log.read_text():
-            if time.monotonic() > end:
-                raise CannotRun(f"{router.name} has not logged {text!r}")
-            await asyncio.sleep(0.02)
-
     async def call(self, router, request_id, method, path, deadline_ms, body=b"", **fields):
         """Sends a request on a new connection. Returns the status (None without an answer), the body and whether it is complete."""
         head = {"Host": HOST, "Attempt-Id": request_id, "Deadline-Milliseconds": deadline_ms, "Authorization": f"Bearer {KEY}",
