Review: one deeply nested entry of another writer takes a small router over its memory

An entry of 1 MiB of '[' costs each router that reads it some 80 MB; under load a machine of 120 MB is killed, with the orders in progress.

--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -30,6 +30,9 @@
           "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": 54, "recovery_s": 12, "pass_ms": 120,
           "reuse_window_s": 8.3, "quota_window_s": 4}
 
+# The larger machines of these deployments.
+LIMITS = {"cpu_share": 0.5, "cores": 1, "memory_mb": 520, "file_descriptors": 8200, "link_mbps": 2000.0, "disk_mb": 0}
+
 
 class CannotRun(Exception):
     """The case could not be carried out; says nothing about the rule."""
@@ -98,9 +101,10 @@
 
 
 class Store:
-    """The platform's store: `GET /-/kv-range`, in pages of at most 500 items."""
+    """The platform's store: `GET /-/kv-range`, in pages of at most 500 items or 1 MB."""
 
     page_size = 500
+    page_bytes = 1_000_000
 
     def __init__(self, record):
         self.record = record
@@ -121,9 +125,14 @@
     def page(self, query):
         prefix, after = query.get("path_prefix", ""), query.get("after", "")
         keys = [key for key in sorted(self.items) if key.startswith(prefix) and key > after]
-        rows = [{"key": key, "value": base64.b64encode(self.items[key][0]).decode(), "revision": self.items[key][1],
-                 "created": self.items[key][1], "lease": 0} for key in keys[: self.page_size]]
-        return {"items": rows, "truncated": len(keys) > self.page_size, "store_revision": self.revision}
+        rows, size = [], 0
+        for key in keys[: self.page_size]:
+            size += len(self.items[key][0])
+            if rows and size > self.page_bytes:
+                break
+            rows.append({"key": key, "value": base64.b64encode(self.items[key][0]).decode(), "revision": self.items[key][1],
+                         "created": self.items[key][1], "lease": 0})
+        return {"items": rows, "truncated": len(rows) < len(keys), "store_revision": self.revision}
 
     async def serve(self, reader, writer):
         try:
@@ -144,7 +153,8 @@
 
 
 class Worker:
-    """A worker of a service. Its answers take the time that the request's field X-Work-Ms names; a stream has X-Events events."""
+    """A worker of a service. Its answers take the time that the request's field X-Work-Ms names; a stream has X-Events
+    events, and another answer X-Answer-Bytes at least."""
 
     def __init__(self, deployment, name, service, zone, port, slots):
         self.deployment, self.name, self.service, self.zone, self.port, self.slots = deployment, name, service, zone, port, slots
@@ -209,10 +219,13 @@
                 f"Server-Load: 1,0,{self.slots}\r\nKeep-Alive: timeout=10\r\n")
         work = float(fields.get("x-work-ms", "15")) / 1000
         if "x-events" not in fields:
-            await asyncio.sleep(work)
-            body = f"{self.name} ran {request_id}".encode()
-            writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
-            await writer.drain()
+            body = f"{self.name} ran {request_id}".encode().ljust(int(fields.get("x-answer-bytes", "0")))
+            pieces = [body[at: at + 100000] for at in range(0, len(body), 100000)]
+            writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode())
+            for piece in pieces:
+                await asyncio.sleep(work / len(pieces))
+                writer.write(piece)
+                await writer.drain()
             record.add(f"worker {self.name} ends {request_id}")
             return True
         last = int(fields["x-events"])
@@ -247,6 +260,7 @@
     def write_settings(self, **changed):
         bounds = {**self.deployment.bounds, **changed}
         rows = "\n".join(f"{name} = {json.dumps(value)}" for name, value in bounds.items())
+        limits = "\n".join(f"{name} = {json.dumps(value)}" for name, value in self.deployment.limits.items())
         seeds = [f"{router.address}:{router.control_port}" for router in self.deployment.routers[:3]]
         # As an operator's tool does it: the new file replaces the old one as a whole.
         new = self.file.with_suffix(".new")
@@ -274,12 +288,7 @@
 readiness = "{self.address}:{self.readiness_port}"
 control = "{self.address}:{self.control_port}"
 [limits]
-cpu_share = 0.5
-cores = 1
-memory_mb = 520
-file_descriptors = 8200
-link_mbps = 2000.0
-disk_mb = 0
+{limits}
 [fault_tolerance]
 machines = 1
 zones = 1
@@ -325,10 +334,11 @@
 class Deployment:
     """Four routers, a service of model workers (kumquat-desk) and one of orders (order-book)."""
 
-    def __init__(self, record, routers=4, bounds=None):
+    def __init__(self, record, routers=4, bounds=None, limits=None):
         self.record = record
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.bounds = {**BOUNDS, **(bounds or {})}
+        self.limits = {**LIMITS, **(limits or {})}
         ports = free_ports(6 + 6)
         self.store_port = ports[0]
         self.routers = []
