Review: a restarted router runs a revoked key after the store came back from a copy

Until another router's heartbeat names the newer configuration, a router that restarts confirms the keys of the copy.

--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -113,6 +113,17 @@
         self.reads = 0
         # Ports at which the store is no longer reachable.
         self.refused_ports = set()
+        self.is_away = False
+        self.era = 0
+
+    def copy(self):
+        return dict(self.items), self.revision
+
+    def restore(self, copy):
+        """Comes back from a copy: what was written since is lost, revisions go back, and the era rises."""
+        self.items, self.revision = dict(copy[0]), copy[1]
+        self.era += 1
+        self.is_away = False
 
     def put(self, key, value):
         self.revision += 1
@@ -138,13 +149,14 @@
         try:
             while True:
                 line, _ = await read_head(reader)
-                if writer.get_extra_info("sockname")[1] in self.refused_ports:
+                if self.is_away or writer.get_extra_info("sockname")[1] in self.refused_ports:
                     return
                 target = urllib.parse.urlsplit(line.split(" ")[1])
                 self.reads += 1
                 await asyncio.sleep(0.004)
                 body = json.dumps(self.page(dict(urllib.parse.parse_qsl(target.query, keep_blank_values=True)))).encode()
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nStore-Era: %d\r\n"
+                             b"Content-Length: %d\r\n\r\n" % (self.era, len(body)) + body)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
@@ -362,7 +374,7 @@
                 route("order-confirm", "non_idempotent", "order-book", 1000, public=True),
                 route("order-lookup", "idempotent", "order-book", 3000, maximum_attempts=2, public=True)]
 
-    def put_configuration(self, routes=None):
+    def put_configuration(self, routes=None, keys=(KEY,)):
         self.version += 3
         self.store.put("op/config", {
             "version": self.version, "routes": routes or self.routes(),
@@ -371,7 +383,7 @@
                          {"name": "order-book", "health_path": "/health", "connection_limit": 100, "protocol": "h1", "tls": False}],
             "limits": {"header_bytes": 16384, "body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
                        "tokens_per_s": 330000},
-            "tenants": [{"name": "weavers", "api_keys": [KEY], "priority": 1}]})
+            "tenants": [{"name": "weavers", "api_keys": list(keys), "priority": 1}]})
         self.record.add(f"the store acknowledges configuration {self.version}")
 
     async def start(self):
@@ -392,9 +404,9 @@
             await asyncio.sleep(0.05)
         self.record.add(f"{router.name} is ready")
 
-    async def call(self, router, request_id, method, path, deadline_ms, body=b"", **fields):
+    async def call(self, router, request_id, method, path, deadline_ms, body=b"", key=KEY, **fields):
         """Sends a request on a new connection. Returns the status (None without an answer), the body and whether it is complete."""
-        head = {"Host": HOST, "Attempt-Id": request_id, "Deadline-Milliseconds": deadline_ms, "Authorization": f"Bearer {KEY}",
+        head = {"Host": HOST, "Attempt-Id": request_id, "Deadline-Milliseconds": deadline_ms, "Authorization": f"Bearer {key}",
                 "Content-Length": len(body), **{name.replace("_", "-"): value for name, value in fields.items()}}
         text = f"{method} {path} HTTP/1.1\r\n" + "".join(f"{name}: {value}\r\n" for name, value in head.items()) + "\r\n"
         status, received, complete, writer = None, b"", False, None
