--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -22,6 +22,8 @@
 HOST = "desk.example"
 KEY = "key-weavers"
 ZONES = ("sohar", "saham", "barka")
+# Of the store and the workers, and of four routers.
+ADDRESSES = ("127.0.0.1", "127.0.3.1", "127.0.3.2", "127.0.3.3", "127.0.3.4")
 
 # The bounds of the small deployments of SYSTEM.md.
 BOUNDS = {"seed_lag_s": 3, "reuse_after_s": 2, "stability_window_ms": 3000, "acknowledge_ms": 4000, "catch_up_s": 4,
@@ -60,6 +62,15 @@
         self.path.write_text("\n".join(self.lines) + "\n")
 
 
+def is_free(address, port):
+    with socket.socket() as probe:
+        try:
+            probe.bind((address, port))
+        except OSError:
+            return False
+    return True
+
+
 def free_ports(count):
     """Free ports outside the range from which the kernel draws the ports of outgoing connections."""
     low = int(pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
@@ -67,12 +78,8 @@
     for candidate in random.sample(range(min(10000, low - 1000), low), 500):
         if len(ports) == count:
             break
-        with socket.socket() as probe:
-            try:
-                probe.bind(("0.0.0.0", candidate))
-            except OSError:
-                continue
-        ports.append(candidate)
+        if all(is_free(address, candidate) for address in ADDRESSES):
+            ports.append(candidate)
     if len(ports) < count:
         raise CannotRun("no free ports")
     # The internal range is given by two ports in ascending order.
