Log how long a request is taken to have waited, and the time left when it ends

The log did not tell whether the deadline was reached, whether it had been counted from too early an arrival, or whether the connection to the endpoint had timed out.

--- a/src/kumquatbeam/controllers/decision_log.hpp
+++ b/src/kumquatbeam/controllers/decision_log.hpp
@@ -66,6 +66,10 @@
     std::optional<std::chrono::milliseconds> firstByte;
     std::chrono::milliseconds total { 0 };
     /// @}
+    /// Time from the arrival that the deadline counts from to the decision on the request; unset if it is unknown.
+    std::optional<std::chrono::milliseconds> age {};
+    /// Time that was left until the deadline; negative if it has passed.
+    std::chrono::milliseconds left { 0 };
 };
 
 /// A change of the fleet's state, such as configuration, membership or peers.
--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -355,7 +355,10 @@
         .status = ended.status,
         .problem = problem,
         .attempts = call.history.attempts,
-        .total = since(call.arrivedAt, context.now) };
+        .total = since(call.arrivedAt, context.now),
+        .left = since(context.now, call.context.deadline) };
+    if (const auto& arrivedAt = call.context.call->arrivedAt)
+        record.age = since(*arrivedAt, call.arrivedAt);
     if (call.firstByteAt)
         record.firstByte = since(call.arrivedAt, *call.firstByteAt);
     context.log.ended(record);
--- a/src/kumquatbeam/runtime/log_writer.cpp
+++ b/src/kumquatbeam/runtime/log_writer.cpp
@@ -102,7 +102,9 @@
                             << " status=" << record.status.value << " failure=" << nameOf(record.problem)
                             << " attempts=" << record.attempts
                             << " first-byte-ms=" << (record.firstByte ? record.firstByte->count() : -1)
-                            << " total-ms=" << record.total.count();
+                            << " total-ms=" << record.total.count()
+                            << " age-ms=" << (record.age ? record.age->count() : -1)
+                            << " left-ms=" << record.left.count();
 }
 
 void log_writer::changed(const change_record& record)
--- a/src/kumquatbeam/types/call.hpp
+++ b/src/kumquatbeam/types/call.hpp
@@ -42,6 +42,8 @@
     urgency urgencyClass = urgency::Normal;
     /// When the caller stops waiting. The pool's timeout applies if the caller gives no deadline.
     std::optional<time_point> deadline;
+    /// The time from which the caller's deadline counts.
+    std::optional<time_point> arrivedAt {};
     std::optional<order_ticket> ticket;
     /// Whether the caller requests an order ticket instead of a call.
     bool isTicketRequest = false;
