End answers at the latest deadline of their callers, and start them before the earliest

What callers saw: streams of a router under load ended midway, seconds before their callers' deadlines (LOST).

Cause: after a pause of its event loop a router doesn't know how long a request has lain in a socket. The arrival clock gave the earliest possible arrival, and one deadline was counted from it for two purposes that need opposite bounds: not to start work for a caller that may have stopped waiting, and not to end an answer for one that may still wait.

Fix: a request has two limits. No attempt starts after the earliest possible deadline (sendBefore, as for keys); answers and the time that endpoints are told run to the latest one, which counts from the read. A caller that leaves earlier is noticed by its connection. The same holds for orders that routers forward to each other.

The new unit tests don't compile before, since the second limit did not exist.

--- a/src/kumquatbeam/capacity/frame_slopes.cpp
+++ b/src/kumquatbeam/capacity/frame_slopes.cpp
@@ -23,7 +23,7 @@
         const auto now = clock::now();
         return cpuMicroseconds([&] {
             const auto bytes = encodeFrame(message, now);
-            static_cast<void>(decodeFrame(bytes.substr(frameLengthSize), now));
+            static_cast<void>(decodeFrame(bytes.substr(frameLengthSize), { now, now }));
         });
     }
 
--- a/src/kumquatbeam/codec/caller_dialect.hpp
+++ b/src/kumquatbeam/codec/caller_dialect.hpp
@@ -18,8 +18,8 @@
     /// Path of the load balancer's readiness check.
     virtual std::string_view readinessTarget() const = 0;
 
-    /// Decodes a complete request. Remaining times in it count from `arrivedAt`.
-    virtual absl::StatusOr<call_request> decode(http_request&&, time_point arrivedAt) const = 0;
+    /// Decodes a complete request. Remaining times in it count from its arrival.
+    virtual absl::StatusOr<call_request> decode(http_request&&, const arrival_bounds&) const = 0;
 
     /// Encodes a complete reply.
     virtual http_response encodeReply(const call_reply&, unsigned version, bool keepAlive, time_point now) const = 0;
--- a/src/kumquatbeam/codec/http_call.cpp
+++ b/src/kumquatbeam/codec/http_call.cpp
@@ -87,14 +87,15 @@
         return absl::OkStatus();
     }
 
-    absl::Status decodeDeadline(std::string_view text, time_point now, call_request& call)
+    absl::Status decodeDeadline(std::string_view text, const arrival_bounds& arrival, call_request& call)
     {
         if (text.empty())
             return absl::OkStatus();
         const auto remaining = parseWholeNumber<std::int64_t>(text, { 0, maxDeadlineMs });
         if (!remaining)
             return malformed(deadlineField, text, "0 to 3600000 ms");
-        call.deadline = now + std::chrono::milliseconds(*remaining);
+        call.deadline = arrival.latest + std::chrono::milliseconds(*remaining);
+        call.sendBefore = arrival.earliest + std::chrono::milliseconds(*remaining);
         return absl::OkStatus();
     }
 
@@ -131,14 +132,14 @@
 
 } // namespace
 
-absl::StatusOr<call_request> decodeCall(http_request&& request, time_point now)
+absl::StatusOr<call_request> decodeCall(http_request&& request, const arrival_bounds& arrival)
 {
     call_request call;
     const auto field = [&](const auto& name) { return toStd(request[name]); };
     const absl::Status steps[] = {
         decodePath(toStd(request.target()), call),
         decodeMethod(request.method(), call),
-        decodeDeadline(field(deadlineField), now, call),
+        decodeDeadline(field(deadlineField), arrival, call),
         decodeUrgency(field(urgencyField), call),
         decodeTicket(field(ticketField), call),
     };
--- a/src/kumquatbeam/codec/http_call.hpp
+++ b/src/kumquatbeam/codec/http_call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kumquatbeam/types/arrival_bounds.hpp"
 #include "kumquatbeam/types/call.hpp"
 #include "kumquatbeam/types/time.hpp"
 
@@ -13,7 +14,7 @@
 using http_response = boost::beast::http::response<boost::beast::http::string_body>;
 
 /// Decodes a caller's HTTP request: `POST|GET /v1/call/POOL/TARGET` or `POST /v1/tickets/POOL`.
-absl::StatusOr<call_request> decodeCall(http_request&&, time_point now);
+absl::StatusOr<call_request> decodeCall(http_request&&, const arrival_bounds&);
 
 /// Encodes a complete reply as an HTTP response.
 http_response encodeReply(const call_reply&, unsigned version, bool keepAlive, time_point now);
--- a/src/kumquatbeam/codec/native_dialect.cpp
+++ b/src/kumquatbeam/codec/native_dialect.cpp
@@ -8,9 +8,9 @@
 
 namespace http = boost::beast::http;
 
-absl::StatusOr<call_request> native_caller_dialect::decode(http_request&& request, time_point arrivedAt) const
+absl::StatusOr<call_request> native_caller_dialect::decode(http_request&& request, const arrival_bounds& arrival) const
 {
-    return decodeCall(std::move(request), arrivedAt);
+    return decodeCall(std::move(request), arrival);
 }
 
 http_response native_caller_dialect::encodeReply(
--- a/src/kumquatbeam/codec/peer_codec.cpp
+++ b/src/kumquatbeam/codec/peer_codec.cpp
@@ -404,14 +404,18 @@
     return length;
 }
 
-absl::StatusOr<peer_message> decodeFrame(const std::string& bytes, time_point now)
+absl::StatusOr<peer_message> decodeFrame(const std::string& bytes, const arrival_bounds& arrival)
 {
     flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
     if (!frames::VerifyframeBuffer(verifier))
         return toStatus({ failure_kind::MalformedFrame, "frame" });
-    auto message = unpackBody(*frames::Getframe(bytes.data()), now);
+    auto message = unpackBody(*frames::Getframe(bytes.data()), arrival.earliest);
     if (!message)
         return toStatus({ failure_kind::MalformedFrame, "body" });
+    if (auto* forward = std::get_if<order_forward>(&*message); forward && forward->call.deadline) {
+        forward->call.sendBefore = *forward->call.deadline;
+        *forward->call.deadline += arrival.latest - arrival.earliest;
+    }
     return *std::move(message);
 }
 
--- a/src/kumquatbeam/codec/peer_codec.hpp
+++ b/src/kumquatbeam/codec/peer_codec.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kumquatbeam/types/arrival_bounds.hpp"
 #include "kumquatbeam/types/peer_message.hpp"
 #include "kumquatbeam/types/time.hpp"
 
@@ -24,7 +25,8 @@
 absl::StatusOr<std::size_t> decodeFrameLength(std::string_view bytes);
 
 /// Decodes a frame without its length prefix. The frame is verified before it is read. `bytes` must be a separate
-/// string, since the tables are read in place and have to be aligned.
-absl::StatusOr<peer_message> decodeFrame(const std::string& bytes, time_point now);
+/// string, since the tables are read in place and have to be aligned. Remaining times count from the earliest arrival,
+/// but for the deadline of a forwarded call.
+absl::StatusOr<peer_message> decodeFrame(const std::string& bytes, const arrival_bounds&);
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/controllers/decision_log.hpp
+++ b/src/kumquatbeam/controllers/decision_log.hpp
@@ -66,7 +66,7 @@
     std::optional<std::chrono::milliseconds> firstByte;
     std::chrono::milliseconds total { 0 };
     /// @}
-    /// Time from the arrival that the deadline counts from to the decision on the request; unset if it is unknown.
+    /// How long the request may have waited before it was read; unset if it states no deadline.
     std::optional<std::chrono::milliseconds> age {};
     /// Time that was left until the deadline; negative if it has passed.
     std::chrono::milliseconds left { 0 };
--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -183,7 +183,7 @@
         .to = { announced->id, announced->address, announced->port, announced->incarnation },
         .call = request.call,
         .account = request.account,
-        .sendBefore = std::min(request.sendBefore, request.deadline),
+        .sendBefore = request.startLimit(),
         .deadline = request.deadline,
         .delivery = isStream(kind) ? answer_delivery::Events : answer_delivery::Buffered,
         .needsFreshConnection = !mayRunAgain(kind),
@@ -286,7 +286,7 @@
         .relayedBytes = call.history.relayedBytes + ended.relayedBytes,
         .attempts = call.history.sentAttempts + (wasSent ? 1 : 0),
         .attemptLimit = call.context.matched->route->attemptLimit,
-        .isStillAwaited = !call.isAbandoned && call.context.deadline > now && call.history.attempts < maxAttempts,
+        .isStillAwaited = !call.isAbandoned && call.context.startLimit() > now && call.history.attempts < maxAttempts,
     };
 }
 
@@ -357,8 +357,8 @@
         .attempts = call.history.attempts,
         .total = since(call.arrivedAt, context.now),
         .left = since(context.now, call.context.deadline) };
-    if (const auto& arrivedAt = call.context.call->arrivedAt)
-        record.age = since(*arrivedAt, call.arrivedAt);
+    if (const auto& stated = call.context.call->deadline)
+        record.age = since(call.context.call->sendBefore, *stated);
     if (call.firstByteAt)
         record.firstByte = since(call.arrivedAt, *call.firstByteAt);
     context.log.ended(record);
--- a/src/kumquatbeam/controllers/order_controller.cpp
+++ b/src/kumquatbeam/controllers/order_controller.cpp
@@ -147,7 +147,7 @@
 void order_controller::forward(const request_context& request, decision_context& context)
 {
     order_forward message { request.id, *request.call->ticket, *request.call };
-    message.call.deadline = request.deadline;
+    message.call.deadline = request.startLimit();
     context.commands.send(peer_command { send_to_peer { message.ticket.owner, std::move(message) } });
     addPending(request);
 }
--- a/src/kumquatbeam/controllers/placement_controller.cpp
+++ b/src/kumquatbeam/controllers/placement_controller.cpp
@@ -189,7 +189,7 @@
         .canResume = pool != document->pools.end() && pool->second.canResume,
         .relayedBytes = ended.relayedBytes,
         .attempts = call.history.attempts + 1,
-        .isStillAwaited = !call.isAbandoned && call.context.deadline > now,
+        .isStillAwaited = !call.isAbandoned && call.context.startLimit() > now,
     };
 }
 
@@ -356,7 +356,7 @@
         .id = request->id,
         .to = { choice.endpoint, description.address, description.port },
         .call = request->call,
-        .sendBefore = std::min(choice.sendBefore, request->deadline),
+        .sendBefore = std::min(choice.sendBefore, request->startLimit()),
         .deadline = request->deadline,
         .delivery = request->isRepeatable ? answer_delivery::Chunks : answer_delivery::Buffered,
     };
--- a/src/kumquatbeam/decisions/account_queue.cpp
+++ b/src/kumquatbeam/decisions/account_queue.cpp
@@ -45,8 +45,8 @@
 {
     std::vector<request_context> expired;
     for (auto& waiting : m_classes) {
-        const auto firstExpired = std::stable_partition(
-            waiting.begin(), waiting.end(), [now](const request_context& context) { return context.deadline > now; });
+        const auto firstExpired = std::stable_partition(waiting.begin(), waiting.end(),
+            [now](const request_context& context) { return context.startLimit() > now; });
         std::move(firstExpired, waiting.end(), std::back_inserter(expired));
         waiting.erase(firstExpired, waiting.end());
     }
@@ -58,7 +58,7 @@
     time_point earliest = never;
     for (const auto& waiting : m_classes) {
         for (const auto& context : waiting)
-            earliest = std::min(earliest, context.deadline);
+            earliest = std::min(earliest, context.startLimit());
     }
     return earliest;
 }
--- a/src/kumquatbeam/duties/callers_duty.hpp
+++ b/src/kumquatbeam/duties/callers_duty.hpp
@@ -43,7 +43,7 @@
     bool isReady() const override { return m_isReady && !m_isDraining; }
     bool isDraining() const override { return m_isDraining; }
     bool isNearCallerLimit() const override;
-    time_point earliestArrival() override { return m_arrivals.earliestArrival(); }
+    arrival_bounds arrival() override { return m_arrivals.arrival(); }
     const caller_dialect& dialect() const override { return m_dialect; }
     const caller_limits& limits() const override { return m_limits; }
 
--- a/src/kumquatbeam/duties/heartbeats_duty.cpp
+++ b/src/kumquatbeam/duties/heartbeats_duty.cpp
@@ -105,7 +105,8 @@
     const auto length = decodeFrameLength(datagram.substr(0, frameLengthSize));
     if (!length.ok() || *length != size - frameLengthSize)
         return;
-    auto message = decodeFrame(std::string(datagram.substr(frameLengthSize)), clock::now());
+    const auto now = clock::now();
+    auto message = decodeFrame(std::string(datagram.substr(frameLengthSize)), { now, now });
     if (!message.ok())
         return;
     const auto* heartbeat = std::get_if<fleet_heartbeat>(&*message);
--- a/src/kumquatbeam/duties/peers_duty.hpp
+++ b/src/kumquatbeam/duties/peers_duty.hpp
@@ -41,7 +41,7 @@
     void onSessionClosed(peer_session&, const absl::Status& reason) override;
     void countSent(std::size_t bytes) override;
     void countReceived(std::size_t bytes) override;
-    time_point earliestArrival() override { return m_arrivals.earliestArrival(); }
+    arrival_bounds arrival() override { return m_arrivals.arrival(); }
 
     void accept();
     void handle(peer_command);
--- a/src/kumquatbeam/runtime/arrival_monitor.hpp
+++ b/src/kumquatbeam/runtime/arrival_monitor.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kumquatbeam/runtime/arrival_clock.hpp"
+#include "kumquatbeam/types/arrival_bounds.hpp"
 
 #include "kumquatbeam/runtime/deadline_timer.hpp"
 #include <boost/asio/io_context.hpp>
@@ -27,8 +28,12 @@
         });
     }
 
-    /// The earliest time at which bytes that are read now can have arrived.
-    time_point earliestArrival() { return m_arrivals.earliestArrival(clock::now()); }
+    /// When bytes that are read now have arrived.
+    arrival_bounds arrival()
+    {
+        const auto now = clock::now();
+        return { m_arrivals.earliestArrival(now), now };
+    }
 
     /// Whether the duty is overloaded.
     bool isOverloaded() const { return m_arrivals.isOverloaded(clock::now()); }
--- a/src/kumquatbeam/sessions/caller_session.hpp
+++ b/src/kumquatbeam/sessions/caller_session.hpp
@@ -7,6 +7,7 @@
 #include "kumquatbeam/sessions/block_body.hpp"
 #include "kumquatbeam/sessions/message_buffer.hpp"
 #include "kumquatbeam/sessions/write_queue.hpp"
+#include "kumquatbeam/types/arrival_bounds.hpp"
 #include "kumquatbeam/types/ids.hpp"
 #include "kumquatbeam/types/time.hpp"
 
@@ -67,8 +68,8 @@
     /// Whether the number of open connections is close to the limit. Connections are then closed after each reply.
     virtual bool isNearCallerLimit() const = 0;
 
-    /// The earliest time at which bytes that are read now can have arrived. Remaining times in a request count from it.
-    virtual time_point earliestArrival() = 0;
+    /// When bytes that are read now have arrived. Remaining times in a request count from it.
+    virtual arrival_bounds arrival() = 0;
 
     virtual const caller_dialect& dialect() const = 0;
 
--- a/src/kumquatbeam/sessions/caller_session_reading.cpp
+++ b/src/kumquatbeam/sessions/caller_session_reading.cpp
@@ -211,8 +211,7 @@
     // As in `handleRequest`, refusing one delivery of an order does not prove that the order did not run.
     bool isOrder = false;
     if (m_parser->is_header_done()) {
-        const auto call
-            = m_delegate.dialect().decode(http_request(m_parser->get().base()), m_delegate.earliestArrival());
+        const auto call = m_delegate.dialect().decode(http_request(m_parser->get().base()), m_delegate.arrival());
         isOrder = call.ok() && call->ticket;
     }
     const failure problem { failure_kind::MemoryShort, "request" };
@@ -253,7 +252,7 @@
             m_keepAlive);
         return;
     }
-    auto call = dialect.decode(std::move(request), m_delegate.earliestArrival());
+    auto call = dialect.decode(std::move(request), m_delegate.arrival());
     if (!call.ok()) {
         // If the framing of a request is in doubt, the start of the next one on the connection is too.
         writeReply(notRun(failureOf(call.status()).value_or(failure { failure_kind::MalformedRequest })), false);
--- a/src/kumquatbeam/sessions/peer_session.cpp
+++ b/src/kumquatbeam/sessions/peer_session.cpp
@@ -119,7 +119,7 @@
         close(toStatus({ failure_kind::OwnerUnreachable, "peer", "silence" }));
         return;
     }
-    auto message = decodeFrame(m_body, m_delegate.earliestArrival());
+    auto message = decodeFrame(m_body, m_delegate.arrival());
     if (!message.ok()) {
         close(message.status());
         return;
--- a/src/kumquatbeam/sessions/peer_session.hpp
+++ b/src/kumquatbeam/sessions/peer_session.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kumquatbeam/types/arrival_bounds.hpp"
 #include "kumquatbeam/types/ids.hpp"
 #include "kumquatbeam/types/peer_message.hpp"
 
@@ -38,8 +39,8 @@
     virtual void countSent(std::size_t bytes) = 0;
     virtual void countReceived(std::size_t bytes) = 0;
 
-    /// The earliest time at which bytes that are read now can have arrived. Remaining times in a message count from it.
-    virtual time_point earliestArrival() = 0;
+    /// When bytes that are read now have arrived. Remaining times in a message count from it.
+    virtual arrival_bounds arrival() = 0;
 };
 
 /// A connection to another daemon. Both sides send a hello message first; then messages flow in both directions.
--- a/src/kumquatbeam/types/call.hpp
+++ b/src/kumquatbeam/types/call.hpp
@@ -40,10 +40,10 @@
     std::string body;
     std::string contentType;
     urgency urgencyClass = urgency::Normal;
-    /// When the caller stops waiting. The pool's timeout applies if the caller gives no deadline.
+    /// When the caller stops waiting at the latest. The pool's timeout applies if the caller gives no deadline.
     std::optional<time_point> deadline;
-    /// The time from which the caller's deadline counts.
-    std::optional<time_point> arrivedAt {};
+    /// When the caller may have stopped waiting: no endpoint is called after that.
+    time_point sendBefore = never;
     std::optional<order_ticket> ticket;
     /// Whether the caller requests an order ticket instead of a call.
     bool isTicketRequest = false;
--- a/src/kumquatbeam/types/request_context.hpp
+++ b/src/kumquatbeam/types/request_context.hpp
@@ -5,6 +5,7 @@
 #include "kumquatbeam/types/placement.hpp"
 #include "kumquatbeam/types/time.hpp"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 
@@ -61,6 +62,9 @@
     time_point sendBefore = never;
     /// The placement that a filter found for the call.
     std::optional<placement> chosenPlacement {};
+
+    /// Latest time at which an attempt may start.
+    time_point startLimit() const { return std::min(deadline, sendBefore); }
 };
 
 } // namespace kumquatbeam
--- a/tests/fuzz/caller_request.cpp
+++ b/tests/fuzz/caller_request.cpp
@@ -21,7 +21,8 @@
     parser.put(boost::asio::buffer(data, size), error);
     if (error || !parser.is_done())
         return 0;
-    const auto call = platform::platform_caller_dialect {}.decode(parser.release(), time_point(std::chrono::hours(1)));
+    const auto call = platform::platform_caller_dialect {}.decode(
+        parser.release(), { time_point(std::chrono::hours(1)), time_point(std::chrono::hours(1)) });
     if (call.ok()) {
         require(!call->callerRequestId.value.empty());
         for (const auto& field : call->fields)
--- a/tests/fuzz/heartbeat_frame.cpp
+++ b/tests/fuzz/heartbeat_frame.cpp
@@ -7,8 +7,8 @@
 {
     using namespace kumquatbeam;
     const auto now = time_point(std::chrono::hours(1));
-    const auto message = decodeFrame(textOf(data, size), now);
+    const auto message = decodeFrame(textOf(data, size), { now, now });
     if (message.ok())
-        require(decodeFrame(encodeFrame(*message, now).substr(frameLengthSize), now).ok());
+        require(decodeFrame(encodeFrame(*message, now).substr(frameLengthSize), { now, now }).ok());
     return 0;
 }
--- a/tests/unit/peer_codec.tests.cpp
+++ b/tests/unit/peer_codec.tests.cpp
@@ -20,7 +20,7 @@
     const auto length = decodeFrameLength(std::string_view(bytes).substr(0, frameLengthSize));
     REQUIRE(length.ok());
     REQUIRE(*length == bytes.size() - frameLengthSize);
-    auto decoded = decodeFrame(bytes.substr(frameLengthSize), now);
+    auto decoded = decodeFrame(bytes.substr(frameLengthSize), { now, now });
     REQUIRE(decoded.ok());
     return *decoded;
 }
@@ -69,9 +69,21 @@
     CHECK(decoded.call.deadline == forward.call.deadline);
 }
 
+TEST_CASE("A forwarded order that may have waited starts earlier, and ends no earlier [peer_codec]")
+{
+    order_forward forward { { 5 }, { { "r1" }, { 2 }, 3, 4 }, {} };
+    forward.call.deadline = now + std::chrono::milliseconds(1500);
+    const auto bytes = encodeFrame(forward, now).substr(frameLengthSize);
+    const auto message = decodeFrame(bytes, { now - std::chrono::seconds(1), now });
+    REQUIRE(message.ok());
+    const auto& call = std::get<order_forward>(*message).call;
+    CHECK(call.deadline == forward.call.deadline);
+    CHECK(call.sendBefore == now + std::chrono::milliseconds(500));
+}
+
 TEST_CASE("Malformed and oversized frames are refused with a typed failure [peer_codec]")
 {
-    CHECK(failureOf(decodeFrame("not a frame at all", now).status())->kind == failure_kind::MalformedFrame);
+    CHECK(failureOf(decodeFrame("not a frame at all", { now, now }).status())->kind == failure_kind::MalformedFrame);
     CHECK(failureOf(decodeFrameLength(std::string_view("\xff\xff\xff\xff", 4)).status())->kind
         == failure_kind::FrameTooLarge);
     CHECK(failureOf(decodeFrameLength(std::string_view("\0\0\0\0", 4)).status())->kind == failure_kind::MalformedFrame);
@@ -80,8 +92,8 @@
     for (std::size_t offset = 0; offset < bytes.size(); ++offset) {
         auto damaged = bytes;
         damaged[offset] = static_cast<char>(~damaged[offset]);
-        static_cast<void>(decodeFrame(damaged, now));
-        static_cast<void>(decodeFrame(bytes.substr(0, offset), now));
+        static_cast<void>(decodeFrame(damaged, { now, now }));
+        static_cast<void>(decodeFrame(bytes.substr(0, offset), { now, now }));
     }
 }
 
@@ -93,7 +105,7 @@
         frame.add_body_type(static_cast<frames::body>(tag));
         out.Finish(frame.Finish());
         const std::string bytes(reinterpret_cast<const char*>(out.GetBufferPointer()), out.GetSize());
-        CHECK_FALSE(decodeFrame(bytes, time_point {}).ok());
+        CHECK_FALSE(decodeFrame(bytes, arrival_bounds {}).ok());
     }
 }
 
@@ -102,7 +114,7 @@
     const auto isAccepted = [](std::uint32_t running, std::int64_t tokens) {
         fleet_heartbeat heartbeat { .from = { "r2" } };
         heartbeat.endpoints.push_back({ { 7 }, running, { tokens } });
-        return decodeFrame(encodeFrame(heartbeat, time_point {}).substr(frameLengthSize), time_point {}).ok();
+        return decodeFrame(encodeFrame(heartbeat, time_point {}).substr(frameLengthSize), arrival_bounds {}).ok();
     };
     CHECK(isAccepted(48, 100'000));
     CHECK_FALSE(isAccepted(48, -1));
@@ -145,7 +157,7 @@
     std::string bytes;
     REQUIRE(absl::Base64Unescape(
         "CAAAABwACAAIAAAAIAAAAAgAAAAIAAgvFAAAAAAACAAIAAAACAAKAAEAAAAAAAAA////////////C///////AAA=", &bytes));
-    CHECK_FALSE(decodeFrame(bytes, time_point {}).ok());
+    CHECK_FALSE(decodeFrame(bytes, arrival_bounds {}).ok());
 }
 
 TEST_CASE("A heartbeat without rows is read, however long its names are [peer_codec]")
--- a/tests/unit/platform/dialects.tests.cpp
+++ b/tests/unit/platform/dialects.tests.cpp
@@ -60,6 +60,14 @@
 
 } // namespace
 
+TEST_CASE("A deadline counts from the latest arrival, and the time for sending from the earliest [platform]")
+{
+    const auto call = platform_caller_dialect {}.decode(clientRequest(), { now - std::chrono::seconds(3), now });
+    REQUIRE(call.ok());
+    CHECK(call->deadline == now + std::chrono::seconds(8));
+    CHECK(call->sendBefore == now + std::chrono::seconds(5));
+}
+
 TEST_CASE("A request keeps its end-to-end fields and loses those that only the router may set [platform]")
 {
     auto request = clientRequest();
@@ -69,7 +77,7 @@
     for (const char* own :
         { "Tenant", "Expected-Instance", "Hold", "Pin-Milliseconds", "Kv-Cache-Backup", "Kv-From", "Kv-Fetch" })
         request.set(own, "forged");
-    const auto call = platform_caller_dialect {}.decode(std::move(request), now);
+    const auto call = platform_caller_dialect {}.decode(std::move(request), { now, now });
     REQUIRE(call.ok());
     CHECK(call->method == "POST");
     CHECK(call->target == "/q/2f?x=1");
@@ -87,7 +95,7 @@
     const auto isRefused = [](auto&& corrupt) {
         auto request = clientRequest();
         corrupt(request);
-        return !platform_caller_dialect {}.decode(std::move(request), now).ok();
+        return !platform_caller_dialect {}.decode(std::move(request), { now, now }).ok();
     };
     CHECK(isRefused([](auto& request) { request.insert("Host", "other.example"); }));
     CHECK(isRefused([](auto& request) { request.erase("Host"); }));
--- a/tests/unit/routing_core.tests.cpp
+++ b/tests/unit/routing_core.tests.cpp
@@ -287,3 +287,31 @@
     sendRequest("/lookup/1");
     CHECK(attempts() == 1);
 }
+
+// LOST: streams were cut seconds before their callers stopped waiting.
+TEST_CASE_FIXTURE(
+    routing_fixture, "An answer may take until its caller has surely stopped waiting, but starts before [routing]")
+{
+    publishAll();
+    call_request call;
+    call.deadline = now + std::chrono::seconds(4);
+    call.sendBefore = now + std::chrono::seconds(2);
+    const auto id = sendRequest("/plan/1", call);
+    REQUIRE(attempts() == 1);
+    CHECK(lastAttempt()->deadline == call.deadline);
+    CHECK(lastAttempt()->sendBefore == call.sendBefore);
+    SUBCASE("no further attempt starts after the time at which the caller may have stopped waiting")
+    {
+        pass(std::chrono::milliseconds(2100));
+        handle(attemptEnd(id, attempt_outcome::NotSent, failure_kind::EndpointUnreachable));
+        CHECK(attempts() == 1);
+        CHECK(replyTo(id)->kind == reply_kind::NotRun);
+    }
+    SUBCASE("a request whose caller may have stopped waiting is not passed on")
+    {
+        call.sendBefore = now;
+        const auto late = sendRequest("/plan/2", call);
+        CHECK(attempts() == 1);
+        CHECK(replyTo(late)->problem->kind == failure_kind::DeadlinePassed);
+    }
+}
--- a/tests/unit/routing_fixture.hpp
+++ b/tests/unit/routing_fixture.hpp
@@ -106,7 +106,13 @@
 
     request_id sendRequest(const std::string& path, const std::string& key = "key", prompt_metadata prompt = {})
     {
-        call_request call;
+        return sendRequest(path, call_request {}, key, std::move(prompt));
+    }
+
+    /// Sends a call of which the times are set.
+    request_id sendRequest(
+        const std::string& path, call_request call, const std::string& key = "key", prompt_metadata prompt = {})
+    {
         call.callerRequestId = { "label" + std::to_string(lastRequest + 1) };
         call.method = "POST";
         call.authority = "desk.example";
--- a/tests/unit/sessions/caller_session_fixture.hpp
+++ b/tests/unit/sessions/caller_session_fixture.hpp
@@ -70,7 +70,7 @@
     bool isReady() const override { return true; }
     bool isDraining() const override { return false; }
     bool isNearCallerLimit() const override { return false; }
-    time_point earliestArrival() override { return clock::now(); }
+    arrival_bounds arrival() override { return { clock::now(), clock::now() }; }
     const caller_dialect& dialect() const override { return m_dialect; }
     const caller_limits& limits() const override { return m_limits; }
 
--- a/tests/unit/ticket_call.tests.cpp
+++ b/tests/unit/ticket_call.tests.cpp
@@ -23,12 +23,12 @@
 
 TEST_CASE("A ticket can be requested only by POST [http_call]")
 {
-    const auto asked = decodeCall(requestTo(http::verb::post, "/v1/tickets/booking"), now);
+    const auto asked = decodeCall(requestTo(http::verb::post, "/v1/tickets/booking"), { now, now });
     REQUIRE(asked.ok());
     CHECK(asked->isTicketRequest);
     CHECK(asked->pool == pool_id { "booking" });
 
-    const auto refused = decodeCall(requestTo(http::verb::get, "/v1/tickets/booking"), now);
+    const auto refused = decodeCall(requestTo(http::verb::get, "/v1/tickets/booking"), { now, now });
     REQUIRE_FALSE(refused.ok());
     CHECK(failureOf(refused.status())->kind == failure_kind::MalformedRequest);
 }
@@ -41,7 +41,7 @@
     auto request = requestTo(http::verb::post, "/v1/call/booking/order");
     request.set(ticketField, response[ticketField]);
 
-    const auto call = decodeCall(std::move(request), now);
+    const auto call = decodeCall(std::move(request), { now, now });
     REQUIRE(call.ok());
     CHECK(call->ticket == reply.ticket);
 }
