Let a pause of the event loop count only until the loop has caught up

What callers saw: a router under load answered requests that had just arrived with 504 (deadline-passed, not run), and ended answers early.

Cause: after a pause of 150 ms or more, each request that was read within the next second counted as having waited since the start of the pause, and with a further pause in that second for up to two seconds more. A router with a small share of a core is late that often while a large configuration is read, so the estimate never recovered, although the loop had read all that had arrived.

Fix: at the first tick after a pause the duty runs the handlers that are ready until there are none. From then on all that had arrived was read, and the pause no longer counts. A pause that falls into this still does.

--- a/src/kumquatbeam/runtime/arrival_clock.hpp
+++ b/src/kumquatbeam/runtime/arrival_clock.hpp
@@ -42,6 +42,17 @@
         m_lastTick = now;
     }
 
+    /// Records that all bytes that had arrived until now were read, so that earlier pauses have no effect any more.
+    void caughtUp(time_point now)
+    {
+        // The process may have been paused after the last bytes were read.
+        if (now - m_lastTick < pauseThreshold)
+            m_recoveryWindowEnd = std::min(m_recoveryWindowEnd, m_lastTick);
+    }
+
+    /// Whether bytes that are read now may have arrived during a pause.
+    bool isRecovering(time_point now) const { return now < m_recoveryWindowEnd; }
+
     /// Whether the duty is overloaded: an iteration of its event loop takes much longer than it should.
     bool isOverloaded(time_point now) const
     {
@@ -52,7 +63,7 @@
     time_point earliestArrival(time_point now)
     {
         detectPause(now);
-        return now < m_recoveryWindowEnd ? m_earliestArrival : now;
+        return isRecovering(now) ? m_earliestArrival : now;
     }
 
 private:
--- a/src/kumquatbeam/runtime/arrival_monitor.hpp
+++ b/src/kumquatbeam/runtime/arrival_monitor.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "kumquatbeam/runtime/arrival_clock.hpp"
+#include "kumquatbeam/runtime/containment.hpp"
+#include "kumquatbeam/runtime/deadline_timer.hpp"
 #include "kumquatbeam/types/arrival_bounds.hpp"
 
-#include "kumquatbeam/runtime/deadline_timer.hpp"
 #include <boost/asio/io_context.hpp>
 
 namespace kumquatbeam {
@@ -12,7 +13,8 @@
 class arrival_monitor {
 public:
     explicit arrival_monitor(boost::asio::io_context& context)
-        : m_timer(context)
+        : m_context(context)
+        , m_timer(context)
         , m_arrivals(clock::now())
     {
     }
@@ -23,8 +25,10 @@
         m_arrivals.tick(clock::now());
         m_timer.expires_after(pauseTickPeriod);
         m_timer.async_wait([this](const boost::system::error_code& error) {
-            if (!error)
-                start();
+            if (error)
+                return;
+            start();
+            catchUp();
         });
     }
 
@@ -39,8 +43,22 @@
     bool isOverloaded() const { return m_arrivals.isOverloaded(clock::now()); }
 
 private:
+    /// After a pause, runs the handlers that are ready until there are none. Then all bytes that had arrived were read.
+    void catchUp()
+    {
+        if (m_isCatchingUp || !m_arrivals.isRecovering(clock::now()))
+            return;
+        m_isCatchingUp = true;
+        const bool hasCaughtUp = runContained("arrivals", [this] { m_context.poll(); });
+        m_isCatchingUp = false;
+        if (hasCaughtUp)
+            m_arrivals.caughtUp(clock::now());
+    }
+
+    boost::asio::io_context& m_context;
     deadline_timer m_timer;
     arrival_clock m_arrivals;
+    bool m_isCatchingUp = false;
 };
 
 } // namespace kumquatbeam
--- a/tests/unit/arrival_clock.tests.cpp
+++ b/tests/unit/arrival_clock.tests.cpp
@@ -54,3 +54,29 @@
     const auto resumedAgainAt = resumedAt + milliseconds(500);
     CHECK(arrivals.earliestArrival(resumedAgainAt) == start);
 }
+
+// LOST: requests that had just arrived were refused as too late, or their answers cut.
+TEST_CASE("Once all that had arrived was read, an earlier pause has no effect [arrival_clock]")
+{
+    arrival_clock arrivals(start);
+    auto now = start + milliseconds(2000);
+    arrivals.tick(now);
+    now += milliseconds(20);
+    REQUIRE(arrivals.earliestArrival(now) == start);
+    arrivals.caughtUp(now);
+    CHECK(arrivals.earliestArrival(now) == now);
+    SUBCASE("the next pause counts from its own start")
+    {
+        const auto lastTick = start + milliseconds(2000);
+        CHECK(arrivals.earliestArrival(now + milliseconds(500)) == lastTick);
+    }
+}
+
+TEST_CASE("A pause after the last bytes were read still counts [arrival_clock]")
+{
+    arrival_clock arrivals(start);
+    const auto resumedAt = start + milliseconds(2000);
+    arrivals.tick(resumedAt);
+    arrivals.caughtUp(resumedAt + milliseconds(500));
+    CHECK(arrivals.earliestArrival(resumedAt + milliseconds(500)) == start);
+}
