Read a request that arrives before its connection's idle timer is handled

What callers saw: a request sent on a kept connection got neither an answer nor a refusal: its connection was closed.

Cause: a late event loop may handle the idle timer of a connection before bytes that have arrived meanwhile. The timer closed the connection without looking for them, unlike the two other places that close an idle connection. A configuration that lowers idle_timeout_ms makes such timers frequent.

Evidence: the new test lets two timers expire while the loop stands still, and the request arrive in the handler of the first one. Before: 2 of 3 checks fail (no request, connection closed). After: they pass.

Fix: all three places ask the same question, and the pending wait for bytes reads the request.

--- a/src/kumquatbeam/sessions/caller_session.cpp
+++ b/src/kumquatbeam/sessions/caller_session.cpp
@@ -78,9 +78,7 @@
 
 void caller_session::closeIfIdle()
 {
-    beast::error_code error;
-    const bool hasBytes = m_buffer.size() > 0 || m_stream.socket().available(error) > 0;
-    if (m_isReading && !m_parser && !hasBytes)
+    if (m_isReading && !m_parser && m_buffer.size() == 0 && !hasUnreadBytes())
         closeConnection();
 }
 
@@ -105,9 +103,8 @@
 
 bool caller_session::closeIfWaiting(time_point now)
 {
-    beast::error_code error;
     const bool isIdle = m_isReading && !m_parser;
-    if (isIdle && m_stream.socket().available(error) > 0)
+    if (isIdle && hasUnreadBytes())
         return false;
     if (m_request && !m_isReplyQueued)
         return false;
@@ -117,6 +114,12 @@
     return true;
 }
 
+bool caller_session::hasUnreadBytes() const
+{
+    beast::error_code error;
+    return m_stream.socket().available(error) > 0;
+}
+
 void caller_session::endUnexpectedly()
 {
     if (m_request)
--- a/src/kumquatbeam/sessions/caller_session.hpp
+++ b/src/kumquatbeam/sessions/caller_session.hpp
@@ -118,6 +118,9 @@
             [step](caller_session& self, boost::beast::error_code error, auto...) { (self.*step)(error); });
     }
 
+    /// Whether bytes have arrived that were not read yet. A late event loop may handle a timer before them.
+    bool hasUnreadBytes() const;
+
     void awaitRequest();
     void onReadableWhenIdle(boost::beast::error_code);
     void armIdleTimer();
--- a/src/kumquatbeam/sessions/caller_session_reading.cpp
+++ b/src/kumquatbeam/sessions/caller_session_reading.cpp
@@ -103,7 +103,7 @@
         return;
     if (clock::now() < m_idleSince + m_delegate.limits().idleTimeout)
         armIdleTimer();
-    else
+    else if (!hasUnreadBytes())
         closeConnection();
 }
 
--- a/tests/unit/sessions/caller_session.tests.cpp
+++ b/tests/unit/sessions/caller_session.tests.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <thread>
+
 using namespace kumquatbeam;
 using namespace kumquatbeam::testing;
 using namespace std::chrono_literals;
@@ -160,3 +162,20 @@
     CHECK(clock::now() >= opened + duty.limits().idleTimeout);
     CHECK(clock::now() < opened + duty.limits().idleTimeout + 500ms);
 }
+
+// LOST: a request that arrived while the event loop was late was closed with its connection, unread.
+TEST_CASE_FIXTURE(
+    caller_fixture, "A request that arrives before its connection's idle timer is handled is read [caller_session]")
+{
+    const auto caller = call("");
+    REQUIRE(until([&] { return duty.lastWaiting != nullptr; }));
+    runUntil(
+        context, [] { return false; }, 50ms);
+    // Both timers expire while the event loop stands still. The request arrives in the handler of the first one.
+    deadline_timer arrival(context);
+    arrival.expires_after(500ms);
+    arrival.async_wait([&](auto) { caller->sendNow(requestHead + "\r\n"); });
+    std::this_thread::sleep_for(duty.limits().idleTimeout + 100ms);
+    CHECK(until([&] { return duty.requests.size() == 1; }));
+    CHECK(duty.closed == 0);
+}
--- a/tests/unit/sessions/caller_session_fixture.hpp
+++ b/tests/unit/sessions/caller_session_fixture.hpp
@@ -142,6 +142,9 @@
         });
     }
 
+    /// Sends without the event loop.
+    void sendNow(const std::string& bytes) { asio::write(m_socket, asio::buffer(bytes)); }
+
     std::string received;
     std::size_t sentBytes = 0;
     bool isClosed = false;
