Let a busy event loop catch up after a pause, too

Cause: the loop counted as caught up once no handler was ready. On a saturated router that may not happen for seconds, in which requests went on being taken for old ones. Found by review.

Fix: eight passes of the event loop after the pause, in each of which Asio takes up to 128 ready sockets, are as many as the requests that a router may have in progress. They are counted by posted handlers, so no event loop runs inside a handler any more.

Evidence: the new test keeps a handler ready at all times; the estimate recovers within 200 ms.

--- a/src/kumquatbeam/runtime/arrival_monitor.hpp
+++ b/src/kumquatbeam/runtime/arrival_monitor.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "kumquatbeam/runtime/arrival_clock.hpp"
-#include "kumquatbeam/runtime/containment.hpp"
 #include "kumquatbeam/runtime/deadline_timer.hpp"
 #include "kumquatbeam/types/arrival_bounds.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 
 namespace kumquatbeam {
 
@@ -43,22 +43,33 @@
     bool isOverloaded() const { return m_arrivals.isOverloaded(clock::now()); }
 
 private:
-    /// After a pause, runs the handlers that are ready until there are none. Then all bytes that had arrived were read.
+    /// Passes of the event loop after which all that had arrived was read. Asio takes up to 128 ready sockets in a
+    /// pass.
+    static constexpr int passesToCatchUp = 8;
+
     void catchUp()
     {
-        if (m_isCatchingUp || !m_arrivals.isRecovering(clock::now()))
+        if (m_passesLeft > 0 || !m_arrivals.isRecovering(clock::now()))
             return;
-        m_isCatchingUp = true;
-        const bool hasCaughtUp = runContained("arrivals", [this] { m_context.poll(); });
-        m_isCatchingUp = false;
-        if (hasCaughtUp)
-            m_arrivals.caughtUp(clock::now());
+        m_passesLeft = passesToCatchUp;
+        awaitPass();
+    }
+
+    void awaitPass()
+    {
+        // The event loop looks for ready sockets before it runs what a handler has posted.
+        boost::asio::post(m_context, [this] {
+            if (--m_passesLeft > 0)
+                awaitPass();
+            else
+                m_arrivals.caughtUp(clock::now());
+        });
     }
 
     boost::asio::io_context& m_context;
     deadline_timer m_timer;
     arrival_clock m_arrivals;
-    bool m_isCatchingUp = false;
+    int m_passesLeft = 0;
 };
 
 } // namespace kumquatbeam
--- a/tests/unit/arrival_clock.tests.cpp
+++ b/tests/unit/arrival_clock.tests.cpp
@@ -1,7 +1,13 @@
 #include "kumquatbeam/runtime/arrival_clock.hpp"
+#include "kumquatbeam/runtime/arrival_monitor.hpp"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
 
+#include <functional>
+#include <thread>
+
 using namespace kumquatbeam;
 using std::chrono::milliseconds;
 
@@ -80,3 +86,17 @@
     arrivals.caughtUp(resumedAt + milliseconds(500));
     CHECK(arrivals.earliestArrival(resumedAt + milliseconds(500)) == start);
 }
+
+// LOST: a busy event loop never caught up, so requests went on being refused as too late.
+TEST_CASE("A pause ends for an event loop that always has a handler to run [arrival_monitor]")
+{
+    boost::asio::io_context context;
+    arrival_monitor arrivals(context);
+    arrivals.start();
+    std::function<void()> work = [&] { boost::asio::post(context, work); };
+    work();
+    std::this_thread::sleep_for(milliseconds(300));
+    CHECK(arrivals.arrival().earliest < arrivals.arrival().latest - milliseconds(200));
+    context.run_for(milliseconds(200));
+    CHECK(arrivals.arrival().earliest > clock::now() - milliseconds(100));
+}
