Hold back only work that has not begun for callers that may have left

Cause: with two limits for a request, some places still used the one where the other is needed. A stream that its caller was reading was not resumed after the earliest possible deadline; the first attempt of a repeatable call was cut at half time although no other could start after that; a repeat was told time beyond its caller's deadline; Retry-After counted from the latest deadline; and the queue of the native router compared the limit for starts with the end of the service. Found by review.

Fix: once bytes have reached the caller, it is known to wait, and the deadline alone counts. Half of the time is kept for a second attempt only where that may start, and a repeat ends at the earliest deadline. The queue compares each limit with what it limits.

--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -19,6 +19,12 @@
     /// Lowest status that counts as a failure of the endpoint.
     constexpr int lowestErrorStatus = 500;
 
+    /// Latest time for sending a call. A caller that has got a part of its answer still waits for the rest.
+    time_point sendLimitOf(const request_context& request, byte_count relayed)
+    {
+        return relayed.value > 0 ? std::min(request.deadline, request.sendBefore) : request.startLimit();
+    }
+
     std::chrono::milliseconds since(time_point from, time_point now)
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(now - from);
@@ -137,7 +143,7 @@
     auto reply = notRun(std::move(problem));
     const auto pool = m_pools.find(call.context.matched->pool);
     if (pool != m_pools.end())
-        reply.retryAt = pool->second.retryAt(call.context.deadline, now);
+        reply.retryAt = pool->second.retryAt(call.context.earliestDeadline(), now);
     return reply;
 }
 
@@ -183,16 +189,20 @@
         .to = { announced->id, announced->address, announced->port, announced->incarnation },
         .call = request.call,
         .account = request.account,
-        .sendBefore = request.startLimit(),
-        .deadline = request.deadline,
+        .sendBefore = sendLimitOf(request, call.history.relayedBytes),
+        // A repeat ends when the caller may have stopped waiting; a first attempt or a stream that the caller reads may
+        // go on.
+        .deadline = call.history.attempts > 0 && call.history.relayedBytes.value == 0 ? request.earliestDeadline()
+                                                                                      : request.deadline,
         .delivery = isStream(kind) ? answer_delivery::Events : answer_delivery::Buffered,
         .needsFreshConnection = !mayRunAgain(kind),
         .resumeAfter = call.history.lastEvent };
     const bool mayFollow
         = kind == call_kind::Idempotent && call.history.sentAttempts + 1 < request.matched->route->attemptLimit;
-    if (mayFollow)
-        attempt.deadline = context.now
-            + std::chrono::duration_cast<clock::duration>((request.deadline - context.now) * attemptTimeFraction);
+    const auto partEnd = context.now
+        + std::chrono::duration_cast<clock::duration>((attempt.deadline - context.now) * attemptTimeFraction);
+    if (mayFollow && partEnd < attempt.sendBefore)
+        attempt.deadline = partEnd;
     ++call.history.attempts;
     context.log.placed({ .request = request.id,
         .callerRequestId = request.call->callerRequestId,
@@ -275,6 +285,7 @@
     const running_call& call, const attempt_ended& ended, time_point now) const
 {
     const auto kind = call.context.matched->route->kind;
+    const auto relayed = call.history.relayedBytes + ended.relayedBytes;
     const bool wasSent = ended.outcome != attempt_outcome::NotSent;
     return {
         .isComplete = ended.outcome == attempt_outcome::Completed,
@@ -283,10 +294,11 @@
         .mayHaveRunBefore = call.history.mayHaveRun,
         .isRepeatable = mayRunAgain(kind),
         .canResume = kind == call_kind::ResumableStream && ended.lastEvent.has_value(),
-        .relayedBytes = call.history.relayedBytes + ended.relayedBytes,
+        .relayedBytes = relayed,
         .attempts = call.history.sentAttempts + (wasSent ? 1 : 0),
         .attemptLimit = call.context.matched->route->attemptLimit,
-        .isStillAwaited = !call.isAbandoned && call.context.startLimit() > now && call.history.attempts < maxAttempts,
+        .isStillAwaited
+        = !call.isAbandoned && sendLimitOf(call.context, relayed) > now && call.history.attempts < maxAttempts,
     };
 }
 
--- a/src/kumquatbeam/controllers/placement_controller.cpp
+++ b/src/kumquatbeam/controllers/placement_controller.cpp
@@ -189,7 +189,8 @@
         .canResume = pool != document->pools.end() && pool->second.canResume,
         .relayedBytes = ended.relayedBytes,
         .attempts = call.history.attempts + 1,
-        .isStillAwaited = !call.isAbandoned && call.context.startLimit() > now,
+        .isStillAwaited
+        = !call.isAbandoned && (ended.relayedBytes.value > 0 ? call.context.deadline : call.context.startLimit()) > now,
     };
 }
 
--- a/src/kumquatbeam/decisions/account_queue.cpp
+++ b/src/kumquatbeam/decisions/account_queue.cpp
@@ -41,24 +41,27 @@
     return std::nullopt;
 }
 
-std::vector<request_context> account_queue::removeExpired(time_point now)
+std::vector<request_context> account_queue::removeExpired(time_point now, clock::duration serviceTime)
 {
     std::vector<request_context> expired;
     for (auto& waiting : m_classes) {
-        const auto firstExpired = std::stable_partition(waiting.begin(), waiting.end(),
-            [now](const request_context& context) { return context.startLimit() > now; });
+        const auto firstExpired
+            = std::stable_partition(waiting.begin(), waiting.end(), [&](const request_context& context) {
+                  return context.startLimit() > now && context.deadline > now + serviceTime;
+              });
         std::move(firstExpired, waiting.end(), std::back_inserter(expired));
         waiting.erase(firstExpired, waiting.end());
     }
     return expired;
 }
 
-time_point account_queue::nextDeadline() const
+time_point account_queue::nextDeadline(clock::duration serviceTime) const
 {
     time_point earliest = never;
     for (const auto& waiting : m_classes) {
         for (const auto& context : waiting)
-            earliest = std::min(earliest, context.startLimit());
+            earliest = std::min(
+                { earliest, context.startLimit(), context.deadline == never ? never : context.deadline - serviceTime });
     }
     return earliest;
 }
--- a/src/kumquatbeam/decisions/account_queue.hpp
+++ b/src/kumquatbeam/decisions/account_queue.hpp
@@ -24,11 +24,11 @@
     /// Removes one request; nothing when it is not in the queue.
     std::optional<request_context> remove(request_id);
 
-    /// Removes the requests whose deadline has passed.
-    std::vector<request_context> removeExpired(time_point now);
+    /// Removes the requests that may no longer start, or whose answers would take `serviceTime` beyond their deadlines.
+    std::vector<request_context> removeExpired(time_point now, clock::duration serviceTime = {});
 
-    /// The earliest deadline of a waiting request.
-    time_point nextDeadline() const;
+    /// The earliest time at which `removeExpired` removes a waiting request.
+    time_point nextDeadline(clock::duration serviceTime = {}) const;
 
     std::size_t size() const;
 
--- a/src/kumquatbeam/decisions/pool_state.cpp
+++ b/src/kumquatbeam/decisions/pool_state.cpp
@@ -45,8 +45,8 @@
     ejectionEndsAt = gate.nextEjectionEnd(now);
     time_point earliest = never;
     for (const auto& [account, queue] : queues)
-        earliest = std::min(earliest, queue.nextDeadline());
-    infeasibleAt = earliest == never ? never : earliest - serviceTime.lowerBound(now);
+        earliest = std::min(earliest, queue.nextDeadline(serviceTime.lowerBound(now)));
+    infeasibleAt = earliest;
 }
 
 time_point pool_state::nextDeadline() const
@@ -56,7 +56,7 @@
 
 std::vector<request_context> pool_state::removeInfeasible(account_queue& queue, time_point now) const
 {
-    return queue.removeExpired(now + serviceTime.lowerBound(now));
+    return queue.removeExpired(now, serviceTime.lowerBound(now));
 }
 
 time_point pool_state::expectedStart(const client_account_id& account, urgency urgencyClass, time_point now) const
--- a/src/kumquatbeam/filters/deadline_filter.cpp
+++ b/src/kumquatbeam/filters/deadline_filter.cpp
@@ -8,7 +8,6 @@
 {
     const auto& pool = m_configuration.current()->pools.at(context.call->pool);
     context.deadline = context.call->deadline.value_or(now + pool.timeout);
-    context.sendBefore = std::min(context.sendBefore, context.call->sendBefore);
     if (context.startLimit() <= now)
         return notRun({ failure_kind::DeadlinePassed });
     return std::nullopt;
--- a/src/kumquatbeam/filters/load_shedding_filter.cpp
+++ b/src/kumquatbeam/filters/load_shedding_filter.cpp
@@ -20,8 +20,8 @@
         const auto delay
             = shortestDelay + std::chrono::milliseconds(wireKeyOf(context.call->callerRequestId).value % jitter);
         // Callers give up on longer delays.
-        const auto longest
-            = std::chrono::duration_cast<clock::duration>((context.deadline - now) * dispatch_pool::retryDelayFraction);
+        const auto longest = std::chrono::duration_cast<clock::duration>(
+            (context.earliestDeadline() - now) * dispatch_pool::retryDelayFraction);
         return now + std::min<clock::duration>(delay, longest);
     }
 
--- a/src/kumquatbeam/filters/timeout_filter.cpp
+++ b/src/kumquatbeam/filters/timeout_filter.cpp
@@ -11,7 +11,6 @@
     context.deadline = now + context.matched->route->timeout;
     if (context.call->deadline)
         context.deadline = std::min(context.deadline, *context.call->deadline);
-    context.sendBefore = std::min(context.sendBefore, context.call->sendBefore);
     if (context.startLimit() <= now)
         return notRun({ failure_kind::DeadlinePassed });
     return std::nullopt;
--- a/src/kumquatbeam/types/request_context.hpp
+++ b/src/kumquatbeam/types/request_context.hpp
@@ -63,8 +63,11 @@
     /// The placement that a filter found for the call.
     std::optional<placement> chosenPlacement {};
 
-    /// Latest time at which an attempt may start.
-    time_point startLimit() const { return std::min(deadline, sendBefore); }
+    /// When the caller may have stopped waiting.
+    time_point earliestDeadline() const { return std::min(deadline, call->sendBefore); }
+
+    /// Latest time at which the call may be sent as long as nothing shows that the caller still waits.
+    time_point startLimit() const { return std::min(earliestDeadline(), sendBefore); }
 };
 
 } // namespace kumquatbeam
--- a/tests/unit/routing_core.tests.cpp
+++ b/tests/unit/routing_core.tests.cpp
@@ -315,3 +315,48 @@
         CHECK(replyTo(late)->problem->kind == failure_kind::DeadlinePassed);
     }
 }
+
+// LOST: a stream that its caller was reading was not resumed in the last second before the deadline.
+TEST_CASE_FIXTURE(routing_fixture, "A stream that its caller reads is resumed until the deadline [routing]")
+{
+    publishAll();
+    call_request call;
+    call.deadline = now + std::chrono::seconds(4);
+    call.sendBefore = now + std::chrono::seconds(2);
+    const auto id = sendRequest("/plan/1", call);
+    pass(std::chrono::milliseconds(2500));
+    auto ended = attemptEnd(id, attempt_outcome::Broken);
+    ended.isRelayed = true;
+    ended.relayedBytes = { 100 };
+    ended.lastEvent = event_number { 3 };
+    handle(ended);
+    REQUIRE(attempts() == 2);
+    CHECK(lastAttempt()->resumeAfter == ended.lastEvent);
+    CHECK(lastAttempt()->sendBefore > now);
+    CHECK(lastAttempt()->deadline == call.deadline);
+}
+
+// BUDGET: a repeat was given time beyond the deadline of its caller.
+TEST_CASE_FIXTURE(routing_fixture, "A repeat ends when its caller may have stopped waiting [routing]")
+{
+    publishAll();
+    call_request call;
+    call.deadline = now + std::chrono::seconds(4);
+    call.sendBefore = now + std::chrono::seconds(3);
+    const auto id = sendRequest("/lookup/1", call);
+    CHECK(lastAttempt()->deadline == now + std::chrono::seconds(2));
+    pass(std::chrono::milliseconds(2000));
+    handle(attemptEnd(id, attempt_outcome::Broken, failure_kind::EndpointTimedOut));
+    REQUIRE(attempts() == 2);
+    CHECK(lastAttempt()->deadline == call.sendBefore);
+}
+
+TEST_CASE_FIXTURE(routing_fixture, "An attempt gets all the time if no other can start after half of it [routing]")
+{
+    publishAll();
+    call_request call;
+    call.deadline = now + std::chrono::seconds(4);
+    call.sendBefore = now + std::chrono::seconds(1);
+    sendRequest("/lookup/1", call);
+    CHECK(lastAttempt()->deadline == call.deadline);
+}
