Look a key up again before a further attempt at its call

What callers saw: a stream that had run for longer than 4.5 s was cut, not resumed, when its engine left.

Cause: the limit for sending, until which the account keys had been confirmed when the request was admitted, was kept for all its attempts, although the keys are confirmed with each read of the store. Found by review.

Fix: before a further attempt the key is looked up in the table in force; the attempt may be sent until the present confirmation ends. A key that was taken away meanwhile allows none, where it did until the old limit.

Evidence: the new test fails before (1 attempt instead of 2, after 5 s with a confirmation in between), and passes after.

--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -256,6 +256,7 @@
 
 void dispatch_controller::applyVerdict(running_call call, const attempt_ended& ended, decision_context& context)
 {
+    renewKey(call.context);
     const auto attemptState = attemptStateOf(call, ended, context.now);
     auto verdict = verdictAfter(attemptState);
     auto problem = ended.problem.value_or(failure { failure_kind::EndpointBroke, ended.endpoint.value });
@@ -281,6 +282,14 @@
     }
 }
 
+void dispatch_controller::renewKey(request_context& request) const
+{
+    if (request.account.value.empty())
+        return;
+    const auto* account = m_routes.current()->accountOf(request.call->credential);
+    request.sendBefore = account && *account == request.account ? m_routes.keysExpireAt() : time_point::min();
+}
+
 attempt_state dispatch_controller::attemptStateOf(
     const running_call& call, const attempt_ended& ended, time_point now) const
 {
--- a/src/kumquatbeam/controllers/dispatch_controller.hpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.hpp
@@ -75,6 +75,8 @@
     };
 
     void refreshPools(decision_context&);
+    /// Limits further attempts at a call by what is known of its account key now.
+    void renewKey(request_context&) const;
     /// Logs the endpoints that have become cold or warm, and sets the time of the next such change.
     void logColdChanges(decision_context& context)
     {
--- a/tests/unit/routing_core.tests.cpp
+++ b/tests/unit/routing_core.tests.cpp
@@ -360,3 +360,33 @@
     sendRequest("/lookup/1", call);
     CHECK(lastAttempt()->deadline == call.deadline);
 }
+
+// LOST: a stream that ran longer than a confirmation of the keys holds was not resumed when its engine left.
+TEST_CASE_FIXTURE(routing_fixture, "A further attempt depends on the account keys as they are known then [routing]")
+{
+    publishAll();
+    const auto id = sendRequest("/plan/1");
+    REQUIRE(attempts() == 1);
+    pass(std::chrono::milliseconds(4000));
+    auto ended = attemptEnd(id, attempt_outcome::Broken);
+    ended.isRelayed = true;
+    ended.relayedBytes = { 100 };
+    ended.lastEvent = event_number { 3 };
+    SUBCASE("it is sent if the key was confirmed again")
+    {
+        publish(table(1));
+        pass(std::chrono::milliseconds(1000));
+        handle(ended);
+        REQUIRE(attempts() == 2);
+        CHECK(lastAttempt()->sendBefore > now);
+    }
+    SUBCASE("it is not sent if the key was taken away")
+    {
+        auto without = table(2);
+        without->accountsByDigest.clear();
+        publish(without);
+        handle(ended);
+        CHECK(attempts() == 1);
+        CHECK(replyTo(id)->kind == reply_kind::Unknown);
+    }
+}
