--- a/tests/scenarios/reported_failures.py
+++ b/tests/scenarios/reported_failures.py
@@ -31,6 +31,16 @@
 # More than the kernel buffers for a worker that does not read, and within the limit of a request's body.
 LONG_UPLOAD = b"x" * 4_000_000
 
+# Size of the largest value that the store takes.
+STORE_VALUE_BYTES = 1024 * 1024
+
+# Memory that a router may gain while a value of that size is read: 8 bytes for each byte of the page, which has it in base64,
+# and what the calls beside it take.
+READ_GROWTH_LIMIT_KIB = 16 * 1024
+
+# Time within which an entry is read, with the settings of this fleet.
+READ_SECONDS = 2.5
+
 # Time within which an answer without end is given up, from the stated limits: it fills a buffer within a moment, and the rest
 # of a refusal or of another call's answer is read for half a second at most.
 ENDLESS_LIMIT_SECONDS = 3
@@ -254,6 +264,22 @@
     time.sleep(1.5)
 
 
+def check_large_entries(checks, running, router):
+    """One entry of another writer, very deeply nested or very wide, took a router over its memory."""
+    for name, part in (("deep", b"["), ("wide", b"{},"), ("deep-objects", b'{"a":'), ("text", b'""')):
+        before = memory_of(router)
+        reset_peak_memory(router)
+        running.store("put", (b"[" + part * (STORE_VALUE_BYTES // len(part)))[:STORE_VALUE_BYTES], key="servers/large")
+        time.sleep(READ_SECONDS)
+        if not SANITIZED:
+            checks.at_most(f"memory gained in KiB while a {name} entry is read", peak_memory_of(router) - before,
+                           READ_GROWTH_LIMIT_KIB)
+        check_serving(checks, running, router, f"large-entry-{name}")
+    lines = [line for line in running.read_log(router.name).splitlines() if "entry of large" in line]
+    checks.equal("log lines for the large entries", len(lines), 4)
+    running.store("delete", key="servers/large")
+
+
 def check_leaving_workers(checks, running, router, other):
     """A worker says in an answer that it leaves, while the store still says that it is ready."""
     Caller(router).call("farewell", "/lookup/1", X_Fault="leaving")
@@ -326,6 +352,7 @@
         check_unnamed_bytes(checks, running, router)
         check_malformed_messages(checks, running, router)
         check_odd_entries(checks, running, router)
+        check_large_entries(checks, running, router)
         check_leaving_workers(checks, running, router, other)
         check_quiet_workers(checks, running, router)
         check_planned_stop(checks, running, router)
--- a/tests/unit/sessions/store_reader.tests.cpp
+++ b/tests/unit/sessions/store_reader.tests.cpp
@@ -106,6 +106,43 @@
         CHECK(describe(faulty.problem).size() < 400);
 }
 
+// LOST: one deeply nested entry of 1 MiB took a router over its memory.
+TEST_CASE("An entry larger than any endpoint's names no endpoint, is reported once, and hides no other [store_reader]")
+{
+    const auto page = pageOf(item("op/config", configuration("p")) + "," + item("servers/a", goodEntry) + ","
+        + item("servers/large", std::string(1024 * 1024, '[')) + "," + item("servers/z", goodEntry));
+    store_fixture fixture({ .opening = response(page) });
+    REQUIRE(fixture.awaits<directory_observed>(2, 5s));
+    const auto& endpoints = fixture.all<directory_observed>().back().directory->endpoints;
+    CHECK(endpoints.size() == 2);
+    CHECK(endpoints.contains({ "a" }));
+    CHECK(endpoints.contains({ "z" }));
+    CHECK(fixture.all<routes_observed>().back().table->pools.contains({ "p" }));
+    CHECK(fixture.all<source_lost>().empty());
+    const auto faults = fixture.all<source_faulty>();
+    REQUIRE(faults.size() == 1);
+    CHECK(faults.front().problem.kind == failure_kind::MalformedValue);
+    CHECK(faults.front().problem.place == "entry of large");
+}
+
+// Guards against a configuration that is taken in part, or that ends the read of the endpoints beside it.
+TEST_CASE("A configuration over the limits leaves the last one in force [store_reader]")
+{
+    store_fixture fixture({ .opening = response(pageOf(item("op/config", configuration("kept")))) });
+    REQUIRE(fixture.awaits<directory_observed>(1, 2s));
+    auto over = item("op/config",
+        R"({"version":9,"services":[{"name":"over"}],"routes":[],"limits":)" + std::string(100, '[')
+            + std::string(100, ']') + "}");
+    over.replace(over.find("\"revision\":3"), 12, "\"revision\":4");
+    fixture.server.sendOnNextRequest(response(pageOf(over + "," + item("servers/a", goodEntry))));
+    REQUIRE(fixture.awaits<directory_observed>(2, 3s));
+    CHECK(fixture.all<directory_observed>().back().directory->endpoints.size() == 1);
+    CHECK(fixture.all<routes_observed>().back().table->pools.contains({ "kept" }));
+    REQUIRE(fixture.all<source_faulty>().size() == 1);
+    CHECK(fixture.all<source_faulty>().front().problem.place == "op/config revision 4");
+    CHECK(fixture.all<source_lost>().empty());
+}
+
 TEST_CASE("A page that never advances ends the read instead of repeating it for ever [store_reader]")
 {
     store_fixture fixture(
