Test answers that break off in their head, and streams that the next endpoint does not continue

Operators of other systems reported that callers got the error of the next endpoint, at times with its head, in the middle of a stream that had broken off, or a stream that ended as if it were whole; and a 200 with an empty or short body after an endpoint had stopped in the head of its answer.

A reply that ends a stream whose bytes still wait to be written is covered too.

--- a/tests/scenarios/whole_answers.py
+++ b/tests/scenarios/whole_answers.py
@@ -62,6 +62,8 @@
     checks.at_least("an engine resumed the answer", sum(counts["resumed"] for counts in running.engine_counts()), 1)
     control_all_engines(running, break_after=3, answer="ignore-resume")
     check_broken(checks, running, "an answer whose resumption no engine confirms is truncated recognisably", "unconfirmed")
+    control_all_engines(running, break_after=3, answer="fail-resume")
+    check_broken(checks, running, "an answer whose resumption fails is truncated recognisably, without the error", "failed")
     control_all_engines(running, break_after=0, answer="whole")
 
 
@@ -73,7 +75,7 @@
         control_all_engines(running, answer=form)
         check_broken(checks, running, f"an answer of the form {form} is truncated recognisably", f"form-{form}")
         restore_engines(running)
-    for form in ("no-length", "close"):
+    for form in ("no-length", "close", "cut-head"):
         control_all_engines(running, answer=form)
         check_not_answered(checks, running, f"an answer of the form {form} counts as unanswered", f"form-{form}")
         restore_engines(running)
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -11,6 +11,7 @@
 POST /control?leaving=yes|no&break-after=TOKENS&refuse=yes|no&answer=FORM&load=yes|no changes the behaviour. FORM is
 `whole` or a malformed answer:
 
+cut-head        closes in the middle of the head
 cut-length      states a Content-Length and closes before reaching it
 no-length       states no length and closes half-way
 bad-chunk       breaks the chunked framing in the middle
@@ -20,6 +21,7 @@
 close           closes without an answer
 early           sends the answer to another call before it reads the request
 ignore-resume   starts a resumed answer from the beginning and does not confirm it
+fail-resume     answers the request to resume with an error
 """
 
 import argparse
@@ -150,7 +152,9 @@
         half = complete[:len(complete) // 2]
         base_head = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n"
         head_with_length = base_head + f"Content-Length: {len(complete)}\r\n\r\n".encode()
+        failure = b"the engine failed\n"
         malformed = {
+            "cut-head": head_with_length[:-8],
             "cut-length": head_with_length + half,
             "no-length": base_head + b"\r\n" + half,
             "bad-chunk": base_head + b"Transfer-Encoding: chunked\r\n\r\n5\r\n" + complete[:5] + b"\r\nnonsense\r\n",
@@ -159,6 +163,9 @@
             "interim": b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
                        + head_with_length + complete,
         }.get(self.answer_form)
+        if self.answer_form == "fail-resume" and resume_offset:
+            self.resumed += 1
+            malformed = b"HTTP/1.1 500 Failed\r\nContent-Length: %d\r\n\r\n" % len(failure) + failure
         if malformed is None:
             await self.stream(writer, disconnected, job, 0 if self.answer_form == "ignore-resume" else resume_offset)
             return
--- a/tests/standins/platform_worker.py
+++ b/tests/standins/platform_worker.py
@@ -3,7 +3,7 @@
 
 Request header fields select the worker's behaviour: `X-Events` is the number of events of a stream, `X-Pause-Ms` the delay
 before each event or before a plain answer, `X-Padding` the bytes that follow the text of a plain answer, `X-Fault` a fault that
-applies only to the first arrival of each request:
+applies only to the first arrival of each request, and `X-Later-Fault` one for its later arrivals:
 
 refuse (503 with Not-Executed), misdirect (421), fail (500), foreign (another request's answer precedes the answer), extra
 (another request's answer follows the answer), close-ended (no length; the connection close ends the answer), truncate (the
@@ -14,7 +14,8 @@
 refusal that names its request, and once more 50 ms later), endless-body (4 MB, then a byte now and then),
 endless-head, endless-extension, endless-refusal, large-trailer (bytes that end an answer never, or in a field that is too large),
 early-reset (a part of an answer without length is sent before the request's body is read, and the connection is reset),
-status-NNN (the answer, or the stream, has the status NNN).
+status-NNN (the answer, or the stream, has the status NNN), failure-page (a 500 with a text that looks like events),
+cut-head (the connection is closed in the middle of the head).
 
 GET /control/seen returns, for the worker of the port, the requests that arrived, that ran and that the caller cancelled, and
 the number of connections.
@@ -42,6 +43,12 @@
     "failure-late": b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n",
 }
 
+# Whole answers to any request: status, header fields and body.
+PAGE = b"id: 9000\ndata: an error page\n\n"
+PAGES = {
+    "failure-page": (500, "Content-Type: text/html\r\n", PAGE),
+}
+
 # Header fields of an answer that never ends as it should, and the bytes that are repeated after its head.
 KILOBYTE = b"x" * 1024
 ENDLESS = {
@@ -124,7 +131,7 @@
         request_id = request.headers.get("attempt-id", "")
         fault = request.headers.get("x-fault", "")
         if request_id in self.arrived_ids:
-            fault = ""
+            fault = request.headers.get("x-later-fault", "")
         self.arrived_ids.add(request_id)
         self.record_arrival(request)
         if request.headers.get("expected-instance") != self.name or fault == "misdirect":
@@ -146,6 +153,13 @@
         if fault in ENDLESS:
             return await self.send_endlessly(request_id, fault, writer)
         self.record.runs.append(request_id)
+        if fault in PAGES:
+            status, fields, body = PAGES[fault]
+            writer.write(self.complete_response(request_id, body, status, fields))
+            return True
+        if fault == "cut-head":
+            writer.write(self.response_head(request_id).encode()[:-8])
+            return False
         if fault == "mute":
             await reader.read()
             return False
--- a/tests/unit/sessions/caller_session.tests.cpp
+++ b/tests/unit/sessions/caller_session.tests.cpp
@@ -91,6 +91,34 @@
     CHECK(caller->received.ends_with("4\r\nhalf\r\n"));
 }
 
+// ORDER: the error of the endpoint that should have continued a stream must not follow the stream's bytes.
+TEST_CASE_FIXTURE(caller_fixture,
+    "An answer that is broken off while its bytes wait to be written has neither a last chunk nor a second head "
+    "[caller_session]")
+{
+    const std::string megabyte(1024 * 1024, 'x');
+    const call_reply broken { .kind = reply_kind::Unknown, .problem = failure { failure_kind::EndpointBroke } };
+    const call_reply error { .kind = reply_kind::Answered, .problem = {}, .status = { 500 }, .body = "failed" };
+    for (const auto& reply : { broken, error }) {
+        for (const int chunks : { 0, 1, 16 }) {
+            CAPTURE(chunks);
+            const auto caller = call(requestHead + "\r\n");
+            REQUIRE(until([&] { return duty.sessions.size() == 1; }));
+            const auto id = duty.sessions.begin()->first;
+            const auto session = duty.sessions.begin()->second;
+            session->deliver(answer_head { id, { 200 }, {}, {} });
+            for (int chunk = 0; chunk < chunks; ++chunk)
+                session->deliver(answer_chunk { id, megabyte });
+            session->deliver(reply_to_caller { id, reply });
+            REQUIRE(until([&] { return caller->isClosed; }));
+            CHECK(duty.sessions.empty());
+            CHECK_FALSE(caller->received.ends_with("0\r\n\r\n"));
+            CHECK(caller->received.find("HTTP/1.1", 1) == std::string::npos);
+            CHECK(caller->received.find("failed") == std::string::npos);
+        }
+    }
+}
+
 TEST_CASE_FIXTURE(caller_fixture, "An unexpected error ends one session and no other [caller_session]")
 {
     duty.throwsOnSubmit = true;
--- a/tests/unit/sessions/endpoint_session_fixture.hpp
+++ b/tests/unit/sessions/endpoint_session_fixture.hpp
@@ -17,7 +17,7 @@
 /// The duty of an endpoint session under test: keeps connections, and records what the session reports.
 class recording_endpoints final : public endpoint_session_delegate {
 public:
-    const endpoint_dialect& dialect() const override { return m_dialect; }
+    const endpoint_dialect& dialect() const override { return *m_dialect; }
     void relay(caller_command command) override { relayed.push_back(std::move(command)); }
     void finish(attempt_ended ended) override { outcomes.push_back(std::move(ended)); }
     void notice(endpoint_noticed noticed) override { notices.push_back(std::move(noticed)); }
@@ -38,6 +38,9 @@
         pool.put(std::move(connection), policy.idleTimeout, clock::now());
     }
 
+    /// Uses another dialect than the platform's.
+    void setDialect(std::shared_ptr<const endpoint_dialect> dialect) { m_dialect = std::move(dialect); }
+
     std::vector<caller_command> relayed;
     std::vector<attempt_ended> outcomes;
     std::vector<endpoint_noticed> notices;
@@ -46,7 +49,7 @@
     connection_pool pool;
 
 private:
-    platform::platform_endpoint_dialect m_dialect;
+    std::shared_ptr<const endpoint_dialect> m_dialect = std::make_shared<platform::platform_endpoint_dialect>();
     std::string m_source;
 };
 
--- a/tests/unit/sessions/scripted_server.hpp
+++ b/tests/unit/sessions/scripted_server.hpp
@@ -58,6 +58,14 @@
     /// Follows another script on connections that are accepted from now on.
     void setScript(server_script script) { m_script = std::make_shared<server_script>(std::move(script)); }
 
+    /// Follows another script on the connections accepted so far, from their next request on.
+    void followOnNextRequest(server_script script)
+    {
+        const auto next = std::make_shared<server_script>(std::move(script));
+        for (const auto& accepted : m_connections)
+            accepted->follow(next);
+    }
+
     /// Sends these bytes instead of the opening for the next request on a connection accepted so far.
     void sendOnNextRequest(const std::string& bytes)
     {
@@ -110,6 +118,8 @@
 
         void silence() { m_isSilent = true; }
 
+        void follow(std::shared_ptr<server_script> script) { m_script = std::move(script); }
+
         void sendOnNextRequest(std::string bytes) { m_nextOpening = std::move(bytes); }
 
     private:
