Continue a stream only with an event stream

Callers of a resumable stream whose first endpoint had broken off saw the page that the next endpoint sent with the status 200 in the middle of their stream, or a stream that ended with its last chunk although events were missing, when that endpoint answered with a 204 or another 2xx. A 204 to a first attempt reached its caller with chunks, whose last one stood where the next answer on the connection was due.

Cause: an answer was treated as an event stream unless its status was 300 or higher. Its type was not looked at, and a 204, which is complete with its head, ended the stream. Failures, refusals and answers to other calls were not affected: they are buffered or dropped, and a reply to a caller who has a part of a stream closes the connection without a last chunk.

An answer is now relayed as events only if its status is 200 and its type is text/event-stream or absent. All others are buffered: as the first answer they are delivered whole with their own framing; at a resumption they break the stream off recognisably. A page that did not end with a blank line used to count as broken; it is an answer now.

--- a/src/kumquatbeam/sessions/endpoint_session.cpp
+++ b/src/kumquatbeam/sessions/endpoint_session.cpp
@@ -25,8 +25,15 @@
     /// Lower statuses (1xx) are interim.
     constexpr unsigned lowestFinalStatus = 200;
 
-    /// This status and higher ones report a failed call.
-    constexpr unsigned lowestFailureStatus = 300;
+    /// Whether an answer can be an event stream. Endpoints may leave out the type.
+    bool mayBeEventStream(const http::response_header<>& head)
+    {
+        const auto field = head[http::field::content_type];
+        auto type = field.substr(0, field.find(';'));
+        while (type.ends_with(' '))
+            type.remove_suffix(1);
+        return head.result() == http::status::ok && (type.empty() || beast::iequals(type, "text/event-stream"));
+    }
 
 } // namespace
 
@@ -137,7 +144,7 @@
         reportNotice();
     switch (classification.answerClass) {
     case answer_class::Answer:
-        if (m_delivery == answer_delivery::Events && head.result_int() >= lowestFailureStatus)
+        if (m_delivery == answer_delivery::Events && !mayBeEventStream(head))
             m_delivery = answer_delivery::Buffered;
         continueReading();
         break;
--- a/src/kumquatbeam/sessions/endpoint_session.hpp
+++ b/src/kumquatbeam/sessions/endpoint_session.hpp
@@ -142,8 +142,8 @@
     boost::asio::io_context& m_context;
     start_attempt m_attempt;
     std::string m_streamId;
-    /// How the answer is delivered. An answer that reports a failure is buffered, so that another endpoint can be
-    /// tried.
+    /// How the answer is delivered. Instead of an event stream, an endpoint may send an answer of another kind; it is
+    /// buffered, since it cannot continue a stream, and another endpoint may be tried after a failure.
     answer_delivery m_delivery;
     /// Null once the session has ended.
     std::shared_ptr<endpoint_connection> m_connection;
--- a/tests/scenarios/broken_streams.py
+++ b/tests/scenarios/broken_streams.py
@@ -10,7 +10,7 @@
 EVENTS = 8
 
 # What the second worker answers instead of the rest of a stream.
-LATER_FAULTS = ("failure-page", "status-404", "refuse", "misdirect", "cut-head")
+LATER_FAULTS = ("failure-page", "page", "no-content", "status-404", "refuse", "misdirect", "cut-head")
 
 
 def expected_events(request_id, last):
@@ -69,12 +69,27 @@
             Caller(router).call(f"after-{name}", path, **fields)
 
 
+def check_other_answers(checks, router):
+    """A worker answers a stream's request with something that is no stream."""
+    caller = Caller(router)
+    for path in ("/quote/1", "/plan/1"):
+        status, fields, body = caller.call(f"page{path[1:5]}", path, X_Fault="page", X_Events=EVENTS)
+        checks.equal(f"a page is delivered as it is ({path})", (status, fields["Content-Type"], body),
+                     (200, "text/html", b"id: 9000\ndata: an error page\n\n"))
+        status, fields, _ = caller.call(f"none{path[1:5]}", path, X_Fault="no-content", X_Events=EVENTS)
+        checks.equal(f"an answer without a body has no chunks ({path})", (status, fields["Transfer-Encoding"]), (204, None))
+        whole = caller.call(f"next{path[1:5]}", path, X_Events=EVENTS)
+        checks.equal(f"the next stream on the connection is whole ({path})", whole[::2],
+                     (200, expected_events(f"next{path[1:5]}", EVENTS)))
+
+
 def main():
     checks = Checks("broken streams")
     with platform_fleet.PlatformFleet(routers=1) as running:
         router = running.routers[0]
         check_streams(checks, router)
         check_heads(checks, running, router)
+        check_other_answers(checks, router)
     return checks.conclude()
 
 
--- a/tests/standins/platform_worker.py
+++ b/tests/standins/platform_worker.py
@@ -14,8 +14,8 @@
 refusal that names its request, and once more 50 ms later), endless-body (4 MB, then a byte now and then),
 endless-head, endless-extension, endless-refusal, large-trailer (bytes that end an answer never, or in a field that is too large),
 early-reset (a part of an answer without length is sent before the request's body is read, and the connection is reset),
-status-NNN (the answer, or the stream, has the status NNN), failure-page (a 500 with a text that looks like events),
-cut-head (the connection is closed in the middle of the head).
+status-NNN (the answer, or the stream, has the status NNN), failure-page (a 500 with a text that looks like events), page (the same
+text as a sealed 200 that is no stream), no-content (a sealed 204), cut-head (the connection is closed in the middle of the head).
 
 GET /control/seen returns, for the worker of the port, the requests that arrived, that ran and that the caller cancelled, and
 the number of connections.
@@ -47,6 +47,8 @@
 PAGE = b"id: 9000\ndata: an error page\n\n"
 PAGES = {
     "failure-page": (500, "Content-Type: text/html\r\n", PAGE),
+    "page": (200, "Content-Type: text/html\r\n", PAGE),
+    "no-content": (204, "", b""),
 }
 
 # Header fields of an answer that never ends as it should, and the bytes that are repeated after its head.
--- a/tests/unit/sessions/resumed_streams.tests.cpp
+++ b/tests/unit/sessions/resumed_streams.tests.cpp
@@ -146,3 +146,47 @@
         CHECK(attempt.relayedBody() == (framing.hasNoLength ? "" : body));
     }
 }
+
+// MIXED, ORDER: a page with the status 200 became a part of the stream, and a 204 ended it as if it were whole.
+TEST_CASE("A success that is no event stream adds nothing to a stream that it should continue [resumed_streams]")
+{
+    constexpr auto completed = attempt_outcome::Completed;
+    std::vector<resumption_row> rows;
+    for (const std::string type :
+        { "text/html", "text/plain; charset=utf-8", "application/json", "text/event-streams" }) {
+        rows.push_back({ "200 OK", entryFields + "Content-Type: " + type + "\r\n", body, completed });
+        rows.push_back({ "200 OK", entryFields + "Content-Type: " + type + "\r\n", "", completed });
+    }
+    for (const std::string status :
+        { "201 Created", "202 Accepted", "203 Changed", "204 None", "205 Reset", "206 Part" }) {
+        rows.push_back({ status, entryFields, body, completed });
+        rows.push_back({ status, entryFields + eventStreamType, body, completed });
+        rows.push_back({ status, entryFields, "", completed });
+    }
+    for (const auto& row : rows) {
+        for (const auto& framing : framingsOf(row.content))
+            checkNothingRelayed(row, "", framing);
+    }
+}
+
+TEST_CASE("An answer to a stream's call that is no event stream is delivered whole [resumed_streams]")
+{
+    const std::string page = "id: 2\n\nid: 1\n\nno end of an event";
+    for (const std::string head : { "200 OK\r\nContent-Type: text/html\r\n", "201 Created\r\n", "206 Part\r\n",
+             "204 None\r\n", "304 Same\r\n", "404 None\r\n", "500 Failed\r\n" }) {
+        for (const auto& framing : framingsOf(page)) {
+            CAPTURE(head);
+            CAPTURE(framing.headEnd);
+            attempt_run attempt(entry,
+                { .opening = absl::StrCat("HTTP/1.1 ", head, entryFields, framing.headEnd, framing.encodedBody),
+                    .closes = true });
+            attempt.run({ answer_delivery::Events });
+            const auto& ended = attempt.ended();
+            const bool hasBody = ended.status.value != 204 && ended.status.value != 304;
+            CHECK(ended.outcome == attempt_outcome::Completed);
+            CHECK_FALSE(ended.isRelayed);
+            CHECK(ended.body == (hasBody ? page : ""));
+            CHECK(attempt.fixture.duty.relayed.empty());
+        }
+    }
+}
