Read chunks in broken_streams without failing on another message behind them

With a trial change that wrote a second head behind a stream, the scenario ended in a ValueError instead of failed checks. The chunks that precede the other message are decoded now, and the rest is compared.

--- a/tests/scenarios/broken_streams.py
+++ b/tests/scenarios/broken_streams.py
@@ -27,11 +27,11 @@
 
 
 def decode_chunks(encoded):
-    """Returns the bytes of the whole chunks, and what follows them."""
+    """Returns the bytes of the whole chunks, and what follows them, which may be another message."""
     decoded = b""
     while b"\r\n" in encoded:
         size_line, rest = encoded.split(b"\r\n", 1)
-        size = int(size_line, 16)
+        size = int(size_line, 16) if size_line.isalnum() else 0
         if size == 0 or len(rest) < size + 2:
             break
         decoded, encoded = decoded + rest[:size], rest[size + 2:]
--- a/tests/unit/sessions/resumed_streams.tests.cpp
+++ b/tests/unit/sessions/resumed_streams.tests.cpp
@@ -154,8 +154,9 @@
     std::vector<resumption_row> rows;
     for (const std::string type :
         { "text/html", "text/plain; charset=utf-8", "application/json", "text/event-streams" }) {
-        rows.push_back({ "200 OK", entryFields + "Content-Type: " + type + "\r\n", body, completed });
-        rows.push_back({ "200 OK", entryFields + "Content-Type: " + type + "\r\n", "", completed });
+        const auto fields = absl::StrCat(entryFields, "Content-Type: ", type, "\r\n");
+        rows.push_back({ "200 OK", fields, body, completed });
+        rows.push_back({ "200 OK", fields, "", completed });
     }
     for (const std::string status :
         { "201 Created", "202 Accepted", "203 Changed", "204 None", "205 Reset", "206 Part" }) {
