Ask another endpoint when an answer cannot continue a stream

A caller whose stream had broken off lost the rest of it when the next endpoint answered the resumption with a 404 or a page, although the route allowed another attempt; the log and the metrics counted the request as answered.

Cause: each complete answer was final for the attempt policy unless its status was 500 or higher. An answer that was not relayed is none to a caller who has a part of a stream: the reply can only close the connection.

Such an answer now counts as a failed attempt: the stream is resumed at another endpoint within the route's attempts and the retry budget, and otherwise ends as unknown. The endpoint's health still counts it as an answer.

Before: the new case of routing_core.tests failed at its first status, with 2 attempts instead of 3.

--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -276,8 +276,10 @@
 {
     const auto kind = call.context.matched->route->kind;
     const bool wasSent = ended.outcome != attempt_outcome::NotSent;
+    // An answer that was not relayed is none to a caller who has a part of a stream.
+    const bool isAnswer = ended.isRelayed || call.history.relayedBytes.value == 0;
     return {
-        .isComplete = ended.outcome == attempt_outcome::Completed,
+        .isComplete = ended.outcome == attempt_outcome::Completed && isAnswer,
         .isEndpointFailure = ended.status.value >= lowestErrorStatus,
         .isProvenNotRun = !wasSent || ended.outcome == attempt_outcome::Refused,
         .mayHaveRunBefore = call.history.mayHaveRun,
@@ -311,7 +313,7 @@
     if (start(call, context))
         return;
     recordUnplaced(call.context, context.now);
-    if (ended.outcome == attempt_outcome::Completed) {
+    if (attemptState.isComplete) {
         answer(std::move(call), ended, context);
         return;
     }
--- a/tests/unit/routing_core.tests.cpp
+++ b/tests/unit/routing_core.tests.cpp
@@ -131,6 +131,37 @@
     CHECK(lastAttempt()->resumeAfter == event_number { 4 });
 }
 
+// ORDER: a failure at the resumption of a stream counted as the request's answer, and no other endpoint was asked.
+TEST_CASE("A whole answer that cannot continue a stream does not end the request as answered [routing]")
+{
+    for (const int status : { 200, 204, 302, 404, 500 }) {
+        CAPTURE(status);
+        routing_fixture fixture;
+        const auto routes = routing_fixture::table(1);
+        for (auto& route : routes->routes["desk.example"])
+            route.attemptLimit = 3;
+        fixture.publish(routes);
+        fixture.announce({ routing_fixture::endpoint("e1", "desk"), routing_fixture::endpoint("e2", "desk"),
+            routing_fixture::endpoint("e3", "desk") });
+        const auto id = fixture.sendRequest("/plan/1");
+        auto broken = fixture.attemptEnd(id, attempt_outcome::Broken);
+        broken.relayedBytes = { 100 };
+        broken.lastEvent = event_number { 4 };
+        fixture.handle(broken);
+        for (std::size_t attempts = 2; attempts <= 3; ++attempts) {
+            REQUIRE(fixture.attempts() == attempts);
+            CHECK(fixture.lastAttempt()->resumeAfter == event_number { 4 });
+            auto other = fixture.attemptEnd(id, attempt_outcome::Completed);
+            other.status = { status };
+            other.lastEvent = event_number { 4 };
+            fixture.handle(other);
+        }
+        CHECK(fixture.attempts() == 3);
+        REQUIRE(fixture.replyTo(id));
+        CHECK(fixture.replyTo(id)->kind == reply_kind::Unknown);
+    }
+}
+
 TEST_CASE_FIXTURE(routing_fixture, "The retry budget limits retries [routing]")
 {
     publishAll();
