Deliver answers without a body without chunks

A caller of the native interface whose repeatable call was answered with a 204 or a 304 got the head with "Transfer-Encoding: chunked" and a last chunk behind it. Such answers have no body, so that the last chunk stands where the next answer on the connection is due.

Cause: answers that are relayed as they arrive are always framed in chunks.

Answers with these statuses are now buffered, like those to orders, and delivered as a whole reply. The placement controller replies whenever the answer was not relayed, as the dispatch controller does, instead of deriving it from the kind of the call.

Not run: the native interface over real processes with such an endpoint.

--- a/src/kumquatbeam/controllers/placement_controller.cpp
+++ b/src/kumquatbeam/controllers/placement_controller.cpp
@@ -196,7 +196,7 @@
 void placement_controller::answer(running_call call, const attempt_ended& ended, decision_context& context)
 {
     std::optional<call_reply> reply;
-    if (!call.context.isRepeatable)
+    if (!ended.isRelayed)
         reply = call_reply { .kind = reply_kind::Answered,
             .problem = {},
             .status = ended.status,
--- a/src/kumquatbeam/sessions/endpoint_session.cpp
+++ b/src/kumquatbeam/sessions/endpoint_session.cpp
@@ -25,6 +25,12 @@
     /// Lower statuses (1xx) are interim.
     constexpr unsigned lowestFinalStatus = 200;
 
+    /// Whether an answer may have a body (RFC 9110, section 6.4.1), and therefore chunks.
+    bool mayHaveBody(const http::response_header<>& head)
+    {
+        return head.result() != http::status::no_content && head.result() != http::status::not_modified;
+    }
+
     /// Whether an answer can be an event stream. Endpoints may leave out the type.
     bool mayBeEventStream(const http::response_header<>& head)
     {
@@ -144,7 +150,7 @@
         reportNotice();
     switch (classification.answerClass) {
     case answer_class::Answer:
-        if (m_delivery == answer_delivery::Events && !mayBeEventStream(head))
+        if (!mayHaveBody(head) || (m_delivery == answer_delivery::Events && !mayBeEventStream(head)))
             m_delivery = answer_delivery::Buffered;
         continueReading();
         break;
--- a/tests/unit/sessions/broken_answers.tests.cpp
+++ b/tests/unit/sessions/broken_answers.tests.cpp
@@ -102,3 +102,24 @@
         }
     }
 }
+
+// MIXED: an answer without a body was relayed in chunks, whose last one preceded the next answer on the connection.
+TEST_CASE("An answer that has no body is not relayed in chunks [broken_answers]")
+{
+    for (const auto& dialect : dialects) {
+        for (const std::string status : { "204 None", "304 Same" }) {
+            for (const auto delivery :
+                { answer_delivery::Buffered, answer_delivery::Chunks, answer_delivery::Events }) {
+                CAPTURE(dialect.name);
+                CAPTURE(status);
+                attempt_run attempt(dialect,
+                    { .opening = absl::StrCat("HTTP/1.1 ", status, "\r\n", dialect.answerFields,
+                          "Connection: close\r\nContent-Length: 0\r\n\r\n") });
+                attempt.run({ delivery });
+                CHECK(attempt.ended().outcome == attempt_outcome::Completed);
+                CHECK_FALSE(attempt.ended().isRelayed);
+                CHECK(attempt.fixture.duty.relayed.empty());
+            }
+        }
+    }
+}
