Keep the relayed part of an answer when no connection is left to resume it

A resumption that was refused for lack of connections was reported as if nothing of the answer had been relayed. In the native router the call would start again at the first byte, behind the part that its caller has; in the entry router the stream is broken off instead of being resumed.

Cause: the endpoints duty reports this outcome itself, without a session, and left out the offset and the last event. The decisions take both from the report.

The report now states what the attempt was to continue after, as a session does. The fault was found by reading.

Before: the new case of resumed_streams.tests failed (both values were missing).

--- a/src/kumquatbeam/duties/endpoints_duty.cpp
+++ b/src/kumquatbeam/duties/endpoints_duty.cpp
@@ -124,8 +124,11 @@
     const auto id = attempt.id;
     if (m_attempts.size() >= static_cast<std::size_t>(m_settings.endpointConnectionLimit)) {
         // Another router may have connections left, so the endpoint is not at fault.
-        m_links.decisions->post(attempt_ended {
-            .id = id, .endpoint = attempt.to.endpoint, .problem = failure { failure_kind::ConnectionsExhausted } });
+        m_links.decisions->post(attempt_ended { .id = id,
+            .endpoint = attempt.to.endpoint,
+            .problem = failure { failure_kind::ConnectionsExhausted },
+            .relayedBytes = attempt.resumeAt,
+            .lastEvent = attempt.resumeAfter });
         return;
     }
     const auto session = std::make_shared<endpoint_session>(m_duty.context(), *this, std::move(attempt));
--- a/tests/unit/sessions/resumed_streams.tests.cpp
+++ b/tests/unit/sessions/resumed_streams.tests.cpp
@@ -1,5 +1,8 @@
 #include "attempt_run.hpp"
 
+#include "kumquatbeam/duties/endpoints_duty.hpp"
+#include "kumquatbeam/duties/ring_sizes.hpp"
+
 #include <doctest/doctest.h>
 
 #include <absl/strings/str_cat.h>
@@ -191,3 +194,26 @@
         }
     }
 }
+
+// ORDER, MIXED: a resumption for which no connection was left was reported as if nothing of the answer had been
+// relayed.
+TEST_CASE("A resumption that finds no connection keeps what was relayed before it [resumed_streams]")
+{
+    router_settings settings;
+    settings.endpointConnectionLimit = 0;
+    duty_thread thread("test");
+    duty_links links;
+    duty<decision_event> decisions(thread, decisionsRing(settings));
+    std::vector<attempt_ended> outcomes;
+    decisions.start([&](decision_event event) { outcomes.push_back(std::get<attempt_ended>(std::move(event))); });
+    links.decisions = &decisions;
+    endpoints_duty endpoints(settings, { 1 }, *router.dialect, thread, links);
+    endpoints.start();
+    endpoints.inbox().post(
+        start_attempt { .id = { 1 }, .to = {}, .call = {}, .resumeAt = relayedBytes, .resumeAfter = relayedEvent });
+    thread.context().poll();
+    REQUIRE(outcomes.size() == 1);
+    CHECK(outcomes.front().outcome == attempt_outcome::NotSent);
+    CHECK(outcomes.front().relayedBytes == relayedBytes);
+    CHECK(outcomes.front().lastEvent == relayedEvent);
+}
