Relay the events that have arrived before a stream is given up

When a stream was given up for lack of memory at the moment at which complete events had arrived, these events were not relayed, but the outcome named the last of them. The next attempt would go on behind it: the caller would miss events, or get chunks without a head if they were the first ones.

Cause: the session recorded the memory of the incomplete event, which may end the attempt, before it relayed the complete ones.

The events are now relayed first, so that the reported event is one that the caller gets. The fault was found by reading; it needs a stream that holds the most of all incomplete answers while these are over their limit, and no run has brought it about over real processes.

--- a/src/kumquatbeam/sessions/endpoint_session.cpp
+++ b/src/kumquatbeam/sessions/endpoint_session.cpp
@@ -282,15 +282,17 @@
 {
     m_events.append(bytes);
     auto completeEvents = m_events.takeCompleteEvents();
+    const bool hasEvents = !completeEvents.empty();
+    // Another attempt continues after these events, so they are relayed before this one can be given up.
+    if (hasEvents)
+        relayChunk(std::move(completeEvents));
     recordHeldBytes();
     if (hasEnded())
         return;
     if (m_events.partialEventSize() > eventSizeLimit)
         giveUpAnswer();
-    else if (completeEvents.empty())
+    else if (!hasEvents)
         continueReading();
-    else
-        relayChunk(std::move(completeEvents));
 }
 
 void endpoint_session::recordHeldBytes()
--- a/tests/unit/sessions/endpoint_session_fixture.hpp
+++ b/tests/unit/sessions/endpoint_session_fixture.hpp
@@ -28,6 +28,9 @@
     {
         heldBytes = held;
         largestHeldBytes = std::max(largestHeldBytes, held);
+        const auto session = isMemoryShort && held.value > 0 ? lastSession.lock() : nullptr;
+        if (session)
+            session->giveUpAnswer();
     }
     std::shared_ptr<endpoint_connection> takeConnection(const start_attempt& attempt) override
     {
@@ -47,6 +50,9 @@
     byte_count heldBytes {};
     byte_count largestHeldBytes {};
     connection_pool pool;
+    /// Whether the last session that was started may hold nothing of its answer.
+    bool isMemoryShort = false;
+    std::weak_ptr<endpoint_session> lastSession;
 
 private:
     std::shared_ptr<const endpoint_dialect> m_dialect = std::make_shared<platform::platform_endpoint_dialect>();
@@ -81,6 +87,7 @@
     std::shared_ptr<endpoint_session> start(start_attempt attempt)
     {
         auto session = std::make_shared<endpoint_session>(context, duty, std::move(attempt));
+        duty.lastSession = session;
         session->start();
         return session;
     }
--- a/tests/unit/sessions/resumed_streams.tests.cpp
+++ b/tests/unit/sessions/resumed_streams.tests.cpp
@@ -217,3 +217,20 @@
     CHECK(outcomes.front().relayedBytes == relayedBytes);
     CHECK(outcomes.front().lastEvent == relayedEvent);
 }
+
+// ORDER: the events that had arrived last were neither relayed nor asked for again.
+TEST_CASE("A stream that is given up for lack of memory reports the events that it has relayed [resumed_streams]")
+{
+    for (const bool isResumed : { false, true }) {
+        CAPTURE(isResumed);
+        attempt_run attempt(entry,
+            { .opening = absl::StrCat(
+                  "HTTP/1.1 200 OK\r\n", entryFields, eventStreamType, "\r\n", body, "id: 6\ndata: partial") });
+        attempt.fixture.duty.isMemoryShort = true;
+        attempt.run({ answer_delivery::Events, isResumed });
+        CHECK(attempt.ended().outcome == attempt_outcome::Broken);
+        CHECK(attempt.relayedBody() == body);
+        CHECK(attempt.ended().lastEvent == event_number { 5 });
+        CHECK(attempt.ended().relayedBytes.value == body.size());
+    }
+}
