Leave two usable workers for each retry in broken_streams

With two plain workers, three answers that break off in a row at one of them eject it, and a call whose first attempt fails at the other one has no worker left for its second attempt. Four workers of each service leave two.

--- a/tests/scenarios/broken_streams.py
+++ b/tests/scenarios/broken_streams.py
@@ -85,7 +85,8 @@
 
 def main():
     checks = Checks("broken streams")
-    with platform_fleet.PlatformFleet(routers=1) as running:
+    # At most half of the workers of a service are ejected, so that two are left for each retry.
+    with platform_fleet.PlatformFleet(routers=1, engines=4, plain_workers=4) as running:
         router = running.routers[0]
         check_streams(checks, router)
         check_heads(checks, running, router)
