--- a/src/kumquatbeam/sessions/endpoint_session.cpp
+++ b/src/kumquatbeam/sessions/endpoint_session.cpp
@@ -25,8 +25,21 @@
     /// Lower statuses (1xx) are interim.
     constexpr unsigned lowestFinalStatus = 200;
 
-    /// This status and higher ones report a failed call.
-    constexpr unsigned lowestFailureStatus = 300;
+    /// Whether an answer may have a body (RFC 9110, section 6.4.1), and therefore chunks.
+    bool mayHaveBody(const http::response_header<>& head)
+    {
+        return head.result() != http::status::no_content && head.result() != http::status::not_modified;
+    }
+
+    /// Whether an answer can be an event stream. Endpoints may leave out the type.
+    bool mayBeEventStream(const http::response_header<>& head)
+    {
+        const auto field = head[http::field::content_type];
+        auto type = field.substr(0, field.find(';'));
+        while (type.ends_with(' '))
+            type.remove_suffix(1);
+        return head.result() == http::status::ok && (type.empty() || beast::iequals(type, "text/event-stream"));
+    }
 
 } // namespace
 
@@ -137,7 +150,7 @@
         reportNotice();
     switch (classification.answerClass) {
     case answer_class::Answer:
-        if (m_delivery == answer_delivery::Events && head.result_int() >= lowestFailureStatus)
+        if (!mayHaveBody(head) || (m_delivery == answer_delivery::Events && !mayBeEventStream(head)))
             m_delivery = answer_delivery::Buffered;
         continueReading();
         break;
@@ -269,15 +282,17 @@
 {
     m_events.append(bytes);
     auto completeEvents = m_events.takeCompleteEvents();
+    const bool hasEvents = !completeEvents.empty();
+    // Another attempt continues after these events, so they are relayed before this one can be given up.
+    if (hasEvents)
+        relayChunk(std::move(completeEvents));
     recordHeldBytes();
     if (hasEnded())
         return;
     if (m_events.partialEventSize() > eventSizeLimit)
         giveUpAnswer();
-    else if (completeEvents.empty())
+    else if (!hasEvents)
         continueReading();
-    else
-        relayChunk(std::move(completeEvents));
 }
 
 void endpoint_session::recordHeldBytes()
--- a/tests/unit/sessions/endpoint_session_fixture.hpp
+++ b/tests/unit/sessions/endpoint_session_fixture.hpp
@@ -17,7 +17,7 @@
 /// The duty of an endpoint session under test: keeps connections, and records what the session reports.
 class recording_endpoints final : public endpoint_session_delegate {
 public:
-    const endpoint_dialect& dialect() const override { return m_dialect; }
+    const endpoint_dialect& dialect() const override { return *m_dialect; }
     void relay(caller_command command) override { relayed.push_back(std::move(command)); }
     void finish(attempt_ended ended) override { outcomes.push_back(std::move(ended)); }
     void notice(endpoint_noticed noticed) override { notices.push_back(std::move(noticed)); }
@@ -28,6 +28,9 @@
     {
         heldBytes = held;
         largestHeldBytes = std::max(largestHeldBytes, held);
+        const auto session = isMemoryShort && held.value > 0 ? lastSession.lock() : nullptr;
+        if (session)
+            session->giveUpAnswer();
     }
     std::shared_ptr<endpoint_connection> takeConnection(const start_attempt& attempt) override
     {
@@ -38,15 +41,21 @@
         pool.put(std::move(connection), policy.idleTimeout, clock::now());
     }
 
+    /// Uses another dialect than the platform's.
+    void setDialect(std::shared_ptr<const endpoint_dialect> dialect) { m_dialect = std::move(dialect); }
+
     std::vector<caller_command> relayed;
     std::vector<attempt_ended> outcomes;
     std::vector<endpoint_noticed> notices;
     byte_count heldBytes {};
     byte_count largestHeldBytes {};
     connection_pool pool;
+    /// Whether the last session that was started may hold nothing of its answer.
+    bool isMemoryShort = false;
+    std::weak_ptr<endpoint_session> lastSession;
 
 private:
-    platform::platform_endpoint_dialect m_dialect;
+    std::shared_ptr<const endpoint_dialect> m_dialect = std::make_shared<platform::platform_endpoint_dialect>();
     std::string m_source;
 };
 
@@ -78,6 +87,7 @@
     std::shared_ptr<endpoint_session> start(start_attempt attempt)
     {
         auto session = std::make_shared<endpoint_session>(context, duty, std::move(attempt));
+        duty.lastSession = session;
         session->start();
         return session;
     }
