Stop using endpoints that only a restored copy of the store announces

Cause: an entry of the copy was held only if the same router had seen the endpoint leave. For a router whose last read was before the removal nothing had changed, and nothing asked whether anybody still wrote the entry. Evidence: in the record of the case the late orders come through all four routers and end with the worker, just before its entry in the copy expires. Change: the router notes the revisions of the first read after a restore, or after its own start in a store with an era above zero. Entries that still have them when the grace period ends, before the stability window does, are held like those of departed endpoints: until they are written again, or for 10 s, by which time the entry of a dead endpoint has expired. A pool of which more than half is unwritten is left as it is, so that a restore empties no pool. Why it works: only a write in the new era changes the revision, and live endpoints write again and again. The deadline is the one for missing entries; while it runs, the store is read every 0.4 s, so a read falls into its last 0.4 s. Ruled out: telling the other routers who had left, since in this case no router had read it, and since an entry that had only expired would then count as left everywhere. Remains: if more than half of a pool leaves in the lost seconds, its entries are used until they expire.

--- a/src/kumquatbeam/controllers/directory_controller.cpp
+++ b/src/kumquatbeam/controllers/directory_controller.cpp
@@ -121,12 +121,18 @@
 {
     const auto longestGap
         = std::chrono::duration_cast<clock::duration>(m_bounds.changePropagationLimit * outageFraction);
+    const bool isFirst = m_erasSeen == 0;
     const bool isRestored = updateEra(observed.era, context);
+    const auto earliestEnd = observed.outageEndedAfter.value_or(observed.readStartedAt);
+    if (isRestored || (isFirst && observed.era > source_era {}))
+        watchUnwritten(observed);
     if (isRestored || (m_lastRead != never && observed.readStartedAt > m_lastRead + longestGap)) {
-        m_keepMissingUntil = keepMissingUntil(observed);
+        m_keepMissingUntil = keepMissingUntil(observed.readStartedAt, earliestEnd);
+        if (!isRestored)
+            m_unwritten.postpone(m_keepMissingUntil - settlingPeriod);
         context.log.changed({ name(), "regained",
-            "after-ms=" + millisecondsText(observed.readStartedAt - m_lastRead) + " outage-ended-within-ms="
-                + millisecondsText(observed.readStartedAt - observed.outageEndedAfter.value_or(observed.readStartedAt))
+            "after-ms=" + millisecondsText(observed.readStartedAt - m_lastRead)
+                + " outage-ended-within-ms=" + millisecondsText(observed.readStartedAt - earliestEnd)
                 + " keep-missing-ms=" + millisecondsText(m_keepMissingUntil - context.now) });
     }
     m_lastRead = observed.readStartedAt;
@@ -136,6 +142,7 @@
     bool hasChanged = applyEvacuations(observed.directory->evacuatedDomains,
         isRestored ? observed.readStartedAt + m_bounds.outageStabilityWindow : time_point::min(), context);
     hasChanged |= applyAnnouncements(*observed.directory, context);
+    hasChanged |= holdUnwritten(observed, context);
     hasChanged |= dropMissing(*observed.directory, observed.readStartedAt, context);
     if (hasChanged)
         publishChange(context);
@@ -159,6 +166,26 @@
                 + " because=gone-before-the-restore" });
 }
 
+void directory_controller::watchUnwritten(const directory_observed& observed)
+{
+    // Without a failed read, the directory may have been restored at any time after the last read.
+    const auto lastRead = m_lastRead == never ? observed.readStartedAt : m_lastRead;
+    const auto restoredAfter = observed.outageEndedAfter.value_or(lastRead);
+    m_unwritten.begin(*observed.directory, keepMissingUntil(observed.readStartedAt, restoredAfter) - settlingPeriod);
+}
+
+bool directory_controller::holdUnwritten(const directory_observed& observed, decision_context& context)
+{
+    const auto gone = m_unwritten.findGone(*observed.directory, observed.readStartedAt, m_endpoints);
+    for (const auto& id : gone) {
+        m_departed.hold(m_endpoints.extract(id).mapped(), *observed.directory, context.now);
+        context.log.changed({ name(), "held",
+            id.value + " for-ms=" + millisecondsText(departed_endpoints::holdTime)
+                + " because=not-written-since-the-restore" });
+    }
+    return !gone.empty();
+}
+
 bool directory_controller::applyEvacuations(
     const std::set<failure_domain_id>& announced, time_point keepLostUntil, decision_context& context)
 {
@@ -189,15 +216,13 @@
     }) > 0;
 }
 
-time_point directory_controller::keepMissingUntil(const directory_observed& observed) const
+time_point directory_controller::keepMissingUntil(time_point readStartedAt, time_point earliestEnd) const
 {
     // The outage ended between the last failed read and this one. An announcement is back within the grace period of
     // the end, so it is waited for from the latest possible end on; but what left must not be used once the directory
     // has been back for the stability window, so that counts from the earliest possible end.
-    const auto latestEnd = observed.readStartedAt;
-    const auto earliestEnd = observed.outageEndedAfter.value_or(latestEnd);
-    return std::min(
-        latestEnd + m_bounds.reannounceGracePeriod, earliestEnd + m_bounds.outageStabilityWindow - withdrawalMargin);
+    return std::min(readStartedAt + m_bounds.reannounceGracePeriod,
+        earliestEnd + m_bounds.outageStabilityWindow - withdrawalMargin);
 }
 
 bool directory_controller::applyAnnouncements(const endpoint_directory& directory, decision_context& context)
--- a/src/kumquatbeam/controllers/directory_controller.hpp
+++ b/src/kumquatbeam/controllers/directory_controller.hpp
@@ -2,6 +2,7 @@
 
 #include "kumquatbeam/controllers/controller.hpp"
 #include "kumquatbeam/decisions/departed_endpoints.hpp"
+#include "kumquatbeam/decisions/unwritten_entries.hpp"
 #include "kumquatbeam/settings/endpoint_directory.hpp"
 #include "kumquatbeam/settings/route_bounds.hpp"
 #include "kumquatbeam/types/peer_message.hpp"
@@ -22,7 +23,8 @@
 /// from the end of the outage.
 ///
 /// A restore of the directory from an older copy counts as an outage. Incarnations that had left before it are not used
-/// from the copy (see `departed_endpoints`), and evacuations that it lost end only after the stability window.
+/// from the copy (see `departed_endpoints`), nor are those that do not write their entries again (see
+/// `unwritten_entries`), and evacuations that it lost end only after the stability window.
 class directory_controller final : public controller {
 public:
     /// Longest gap between two reads that does not count as an outage, as a fraction of the change propagation limit.
@@ -37,6 +39,9 @@
     /// Time from the decision to drop an endpoint until the last call decided before has been sent or withdrawn.
     static constexpr std::chrono::milliseconds withdrawalMargin { 200 };
 
+    /// Longest time between the starts of two reads while announcements may come back after an outage.
+    static constexpr std::chrono::milliseconds settlingPeriod { 400 };
+
     /// Time for which the end of an evacuation is remembered. Longer than any endpoint is cold after a start.
     static constexpr std::chrono::hours evacuationEndRetention { 1 };
 
@@ -73,12 +78,14 @@
     void observe(const directory_observed&, decision_context&);
     bool updateEra(source_era, decision_context&);
     void holdDeparted(const endpoint_directory&, decision_context&);
+    void watchUnwritten(const directory_observed&);
+    bool holdUnwritten(const directory_observed&, decision_context&);
     bool applyEvacuations(const std::set<failure_domain_id>& announced, time_point keepLostUntil, decision_context&);
     bool endEvacuations(decision_context&);
     void receiveLeaving(const fleet_heartbeat&, decision_context&);
     void recordLeaving(const endpoint_id&, std::int64_t incarnation, std::string_view source, decision_context&);
     bool isLeaving(const endpoint_id&, std::int64_t incarnation) const;
-    time_point keepMissingUntil(const directory_observed&) const;
+    time_point keepMissingUntil(time_point readStartedAt, time_point earliestEnd) const;
     bool applyAnnouncements(const endpoint_directory&, decision_context&);
     bool dropMissing(const endpoint_directory&, time_point readStartedAt, decision_context&);
     void publishChange(decision_context&);
@@ -90,6 +97,7 @@
     /// Evacuated failure domains, each with `never`, or with the time until which it is kept after a restore lost it.
     std::map<failure_domain_id, time_point> m_evacuatedUntil;
     departed_endpoints m_departed;
+    unwritten_entries m_unwritten;
     source_era m_era {};
     /// Number of eras of the directory that this process has seen, one after another.
     std::uint64_t m_erasSeen = 0;
--- a/src/kumquatbeam/decisions/departed_endpoints.cpp
+++ b/src/kumquatbeam/decisions/departed_endpoints.cpp
@@ -19,6 +19,14 @@
         endpoint.id, departure { endpoint.incarnation, endpoint.isDraining, now + retention });
 }
 
+void departed_endpoints::hold(const announced_endpoint& endpoint, const endpoint_directory& directory, time_point now)
+{
+    record(endpoint, now);
+    auto& departure = m_departures.at(endpoint.id);
+    departure.heldUntil = now + holdTime;
+    departure.heldRevision = revisionOf(endpoint.id, directory);
+}
+
 std::vector<endpoint_id> departed_endpoints::holdThoseIn(const endpoint_directory& restored, time_point now)
 {
     std::vector<endpoint_id> held;
--- a/src/kumquatbeam/decisions/departed_endpoints.hpp
+++ b/src/kumquatbeam/decisions/departed_endpoints.hpp
@@ -26,6 +26,9 @@
     /// Remembers an endpoint that is dropped.
     void record(const announced_endpoint&, time_point now);
 
+    /// Remembers an endpoint that is dropped, and holds its entry in this directory.
+    void hold(const announced_endpoint&, const endpoint_directory&, time_point now);
+
     /// Holds the remembered endpoints that a restored directory contains; returns their ids.
     std::vector<endpoint_id> holdThoseIn(const endpoint_directory& restored, time_point now);
 
--- a/tests/unit/restored_fixture.hpp
+++ b/tests/unit/restored_fixture.hpp
@@ -3,6 +3,7 @@
 #include "routing_fixture.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -21,7 +22,7 @@
 
     /// Announces endpoints, each written at its revision, and evacuated domains.
     void announceIn(source_era era, const std::vector<std::pair<announced_endpoint, std::uint64_t>>& endpoints,
-        const std::set<failure_domain_id>& evacuated = {})
+        const std::set<failure_domain_id>& evacuated = {}, std::optional<time_point> outageEndedAfter = std::nullopt)
     {
         auto directory = std::make_shared<endpoint_directory>();
         for (const auto& [announced, writtenAt] : endpoints) {
@@ -29,7 +30,7 @@
             directory->revisions.emplace(announced.id, revision { writtenAt });
         }
         directory->evacuatedDomains = evacuated;
-        handle(directory_observed { std::move(directory), now, std::nullopt, era });
+        handle(directory_observed { std::move(directory), now, outageEndedAfter, era });
     }
 
     void hear(const std::string& router, std::uint64_t version, const std::string& address = "127.0.0.2")
