Drain: use the grace period in force when a shutdown starts

A grace period that was raised with SIGHUP was not used.

Cause: the limit of a shutdown was computed from `bounds.grace_period_s` once, into the router's settings, which don't change. A reload replaces `route_bounds` only, and the drain controller did not read them.

The limit is now one of the bounds, `route_bounds::drainLimit`, in place of the grace period, which nothing else used. `routing_core` owns the bounds in force, and the drain controller reads the limit there when a shutdown starts. The native router passes the limit of its own settings, as before.

During a shutdown, a reloaded limit brings the end forward, counted from the notice, and never puts it off: the supervisor may have fixed the time of SIGKILL when it sent SIGTERM, and a request that SIGKILL cuts gets no answer, while one that is ended before it gets one.

The test of the parsed settings names the grace period of its file, 8 s, in place of the member that is gone, and also counts the time for the last replies, so it is stricter than before.

--- a/src/kumquatbeam/controllers/decision_core.cpp
+++ b/src/kumquatbeam/controllers/decision_core.cpp
@@ -19,7 +19,7 @@
     , m_membership(m_settings, m_configuration)
     , m_orders(m_settings.self, incarnation, m_configuration, m_internalIds)
     , m_placement(m_settings, m_configuration, m_membership)
-    , m_drain(m_settings)
+    , m_drain(m_settings, m_settings.drainLimit)
     , m_meteringSink(commands, log, m_metrics)
     , m_loop(m_meteringSink, m_meteringSink,
           { [this](decision_context& context) { checkForPause(context); },
--- a/src/kumquatbeam/controllers/drain_controller.cpp
+++ b/src/kumquatbeam/controllers/drain_controller.cpp
@@ -6,8 +6,9 @@
 
 namespace kumquatbeam {
 
-drain_controller::drain_controller(const router_settings& settings)
+drain_controller::drain_controller(const router_settings& settings, const std::chrono::milliseconds& drainLimit)
     : m_settings(settings)
+    , m_drainLimit(drainLimit)
 {
 }
 
@@ -20,11 +21,12 @@
                 return;
             }
             m_refuseAt = context.now + m_settings.drainNotice;
-            m_endBy = m_refuseAt + m_settings.drainLimit;
+            m_endBy = m_refuseAt + m_drainLimit;
             m_exitBy = m_endBy + replyAllowance;
             context.commands.send(caller_command { begin_drain {} });
             context.log.changed({ name(), "started", "" });
         },
+        [&](const settings_reloaded&) { bringEndForward(context); },
         [&](const request_admitted&) { ++m_inProgress; },
         [&](const request_ended&) {
             --m_inProgress;
@@ -66,6 +68,18 @@
     report.isReady = report.isReady && !isDraining();
 }
 
+void drain_controller::bringEndForward(decision_context& context)
+{
+    if (!isDraining() || m_hasEndedRequests)
+        return;
+    const auto endBy = m_refuseAt + m_drainLimit;
+    if (endBy >= m_endBy)
+        return;
+    m_endBy = endBy;
+    m_exitBy = endBy + replyAllowance;
+    context.log.changed({ name(), "shortened", "" });
+}
+
 void drain_controller::closeCallersWhenIdle(decision_context& context)
 {
     if (m_isClosingCallers || !m_hasStoppedAccepting || m_inProgress > 0)
--- a/src/kumquatbeam/controllers/routing_core.cpp
+++ b/src/kumquatbeam/controllers/routing_core.cpp
@@ -21,7 +21,7 @@
     , m_directory(m_bounds)
     , m_fleet(m_settings, incarnation, std::move(seeds))
     , m_dispatch(m_bounds, m_settings.domain, m_routes, m_directory, m_fleet)
-    , m_drain(m_settings)
+    , m_drain(m_settings, m_bounds.drainLimit)
     , m_readiness(m_routes, m_directory)
     , m_loop(commands, log, { .interceptEvent = [this](const decision_event& event, decision_context& context) {
         return interceptEvent(event, context);
--- a/src/kumquatbeam/settings/route_bounds.hpp
+++ b/src/kumquatbeam/settings/route_bounds.hpp
@@ -12,14 +12,15 @@
     std::int64_t slack = 0;
 };
 
-/// Bounds that a router of routed calls must meet. The platform sets them in the settings of the process.
+/// Bounds that a router of routed calls must meet. The platform sets them in the settings of the process, and may
+/// change them at run time: `routing_core` owns those in force, and its parts read them there when they need them.
 struct route_bounds {
     /// Time after the revocation of an account key by which routers must have stopped accepting it.
     std::chrono::milliseconds keyRevocationLimit { 5000 };
     /// Time within which a change published by operators or endpoints must be in force.
     std::chrono::milliseconds changePropagationLimit { 2000 };
-    /// Time from SIGTERM to SIGKILL.
-    std::chrono::milliseconds gracePeriod { 8000 };
+    /// Time after the notice of a shutdown for which requests in progress may go on.
+    std::chrono::milliseconds drainLimit { 4500 };
     /// Time after an outage of the directory for which an endpoint is kept although its announcement expired during the
     /// outage.
     std::chrono::milliseconds reannounceGracePeriod { 2200 };
--- a/tests/scenarios/planned_stop.py
+++ b/tests/scenarios/planned_stop.py
@@ -1,5 +1,5 @@
 """Checks a planned stop of a router in calm: each caller whose request was read gets a whole answer, and a true one, before the
-process ends, also those whose requests come late in the grace period."""
+process ends, also those whose requests come late in the grace period. The grace period is the one in force at SIGTERM."""
 
 import subprocess
 import sys
@@ -16,6 +16,9 @@
 LONG_PAUSE_MS = 5200
 # Longer than the grace period.
 UNFINISHED_PAUSE_MS = 12000
+# A grace period that the settings get while the router runs, and an order that only this one is long enough for.
+LONGER_GRACE_SECONDS = 12
+LONGER_PAUSE_MS = 9000
 TRUE_WHEN_UNKNOWN = (502, 504)
 NOT_RUN = 503
 
@@ -27,11 +30,15 @@
         super().__init__()
         common = {"host": platform_fleet.HOST, "timeout_ms": 20000, "target_latency_ms": 600, "priority": 1,
                   "maximum_attempts": 2, "public": False}
+        self.grace_seconds = GRACE_SECONDS
         self.extra_routes = [
             {"name": "slow", "path_prefix": "/slow/", "kind": "non_idempotent", "service": "book", **common},
             {"name": "long", "path_prefix": "/long/", "kind": "non_idempotent", "service": "book", **common},
             {"name": "read", "path_prefix": "/read/", "kind": "idempotent", "service": "book", **common}]
 
+    def settings_of(self, router):
+        return super().settings_of(router).replace("grace_period_s = 8", f"grace_period_s = {self.grace_seconds}")
+
 
 def timed_call(router, name, path, **fields):
     """Returns status and body of a call, and when it ended."""
@@ -94,12 +101,34 @@
         checks.equal(f"{name} reaches no worker", running.arrivals_of(name), [])
 
 
+def check_reloaded_grace_period(checks, running, router):
+    running.grace_seconds = LONGER_GRACE_SECONDS
+    (running.folder / f"{router.name}.toml").write_text(running.settings_of(router))
+    running.reload(router)
+    time.sleep(0.5)
+    checks.true("the log reports the reload", "settings: reloaded" in running.read_log(router.name))
+    order = in_background(lambda: timed_call(router, "after-reload", "/slow/1", X_Pause_Ms=LONGER_PAUSE_MS))
+    time.sleep(0.3)
+    running.terminate(router)
+    stopped_at = time.monotonic()
+    status, _, ended_at = order()
+    checks.equal("an order that the reloaded grace period is long enough for is answered", status, 200)
+    checks.true("it ended after the earlier grace period", ended_at > stopped_at + GRACE_SECONDS,
+                f"{ended_at - stopped_at:.2f} s")
+    try:
+        code = router.process.wait(max(0.1, stopped_at + LONGER_GRACE_SECONDS - time.monotonic()))
+    except subprocess.TimeoutExpired:
+        code = "still running"
+    checks.equal("the process ends within the reloaded grace period, with code 0", code, 0)
+
+
 def main():
     checks = Checks("planned stop")
     with PlannedStop() as running:
         router, other = running.routers
         check_stop(checks, running, router)
         checks.equal("the other router keeps serving", Caller(other).call("other", "/lookup/1")[0], 200)
+        check_reloaded_grace_period(checks, running, other)
     return checks.conclude()
 
 
--- a/tests/unit/drain_controller.tests.cpp
+++ b/tests/unit/drain_controller.tests.cpp
@@ -12,11 +12,7 @@
 /// Drain controller with a notice of one second and a limit of ten seconds.
 class driven_drain {
 public:
-    driven_drain()
-    {
-        m_settings.drainNotice = 1000ms;
-        m_settings.drainLimit = 10000ms;
-    }
+    driven_drain() { m_settings.drainNotice = 1000ms; }
 
     void handle(const decision_event& event)
     {
@@ -32,8 +28,15 @@
             drain.onDeadline(context);
     }
 
+    void reload(std::chrono::milliseconds limit)
+    {
+        drainLimit = limit;
+        handle(settings_reloaded {});
+    }
+
     recorded_commands commands;
     time_point now = time_point {} + 1h;
+    std::chrono::milliseconds drainLimit = 10000ms;
 
 private:
     router_settings m_settings;
@@ -41,7 +44,7 @@
     std::deque<decision_event> m_raised;
 
 public:
-    drain_controller drain { m_settings };
+    drain_controller drain { m_settings, drainLimit };
 };
 
 } // namespace
@@ -130,3 +133,55 @@
     CHECK(driven.commands.all<begin_drain>().size() == 1);
     CHECK(driven.commands.all<finish_process>().empty());
 }
+
+// LOST: streams were cut at the limit of the settings that the process had started with.
+TEST_CASE("A shutdown keeps the limit that was in force when it started, not the one of the process's start [drain]")
+{
+    driven_drain driven;
+    driven.reload(18000ms);
+    const auto began = driven.now;
+    driven.handle(request_admitted { {} });
+    driven.handle(shutdown_requested {});
+    driven.advanceTo(began + 1000ms);
+    driven.advanceTo(began + 18999ms);
+    CHECK(driven.commands.all<end_requests>().empty());
+    driven.advanceTo(began + 19000ms);
+    CHECK(driven.commands.all<end_requests>().size() == 1);
+}
+
+TEST_CASE("A limit that is reloaded during a shutdown brings its end forward, and never puts it off [drain]")
+{
+    driven_drain driven;
+    const auto began = driven.now;
+    driven.handle(request_admitted { {} });
+    driven.handle(shutdown_requested {});
+    driven.advanceTo(began + 1000ms);
+    SUBCASE("a longer limit changes nothing")
+    {
+        driven.reload(18000ms);
+        CHECK(driven.drain.endsRequestsAt() == began + 11000ms);
+    }
+    SUBCASE("a shorter limit counts from the start of the shutdown")
+    {
+        driven.advanceTo(began + 2000ms);
+        driven.reload(4000ms);
+        CHECK(driven.drain.endsRequestsAt() == began + 5000ms);
+        CHECK(driven.drain.nextDeadline() == began + 5000ms);
+        driven.advanceTo(began + 5000ms);
+        CHECK(driven.commands.all<end_requests>().size() == 1);
+        CHECK(driven.drain.nextDeadline() == began + 5000ms + drain_controller::replyAllowance);
+    }
+    SUBCASE("a limit that has passed ends the requests at once")
+    {
+        driven.advanceTo(began + 6000ms);
+        driven.reload(4000ms);
+        driven.advanceTo(began + 6000ms);
+        CHECK(driven.commands.all<end_requests>().size() == 1);
+    }
+    SUBCASE("a limit that is reloaded after the end leaves the last replies their time")
+    {
+        driven.advanceTo(began + 11000ms);
+        driven.reload(4000ms);
+        CHECK(driven.drain.nextDeadline() == began + 11000ms + drain_controller::replyAllowance);
+    }
+}
--- a/tests/unit/platform/decoders.tests.cpp
+++ b/tests/unit/platform/decoders.tests.cpp
@@ -1,3 +1,4 @@
+#include "kumquatbeam/controllers/drain_controller.hpp"
 #include "platform/endpoint_decoder.hpp"
 #include "platform/entry_settings.hpp"
 #include "platform/prompt_decoder.hpp"
@@ -224,7 +225,9 @@
     CHECK(settings->router.domain.value == "sohar");
     CHECK(settings->seeds == std::vector<std::string> { "10.1.0.33", "10.2.0.18" });
     CHECK(settings->bounds.retryAllowance == 54);
-    CHECK(settings->router.drainNotice + settings->router.drainLimit < settings->bounds.gracePeriod);
+    // The last replies are written before the end of the grace period of 8 s.
+    CHECK(settings->router.drainNotice + settings->bounds.drainLimit + drain_controller::replyAllowance
+        < std::chrono::seconds(8));
     // Requests accepted later than 3 s after SIGTERM must finish, however long they run.
     CHECK(settings->router.drainNotice < std::chrono::milliseconds(3000));
     CHECK(settings->router.answerMemoryLimit == 100 * 1024 * 1024);
--- a/tests/unit/routing_core.tests.cpp
+++ b/tests/unit/routing_core.tests.cpp
@@ -191,6 +191,21 @@
     CHECK(commands.all<close_caller_connections>().size() == 1);
 }
 
+// LOST: the grace period of the process's start ended streams that the one in force allowed.
+TEST_CASE_FIXTURE(routing_fixture, "A shutdown waits as long as the reloaded settings allow [routing]")
+{
+    publishAll();
+    auto longer = bounds();
+    longer.drainLimit = std::chrono::milliseconds(12'000);
+    handle(settings_reloaded { longer, {} });
+    sendRequest("/plan/1");
+    handle(shutdown_requested {});
+    pass(std::chrono::milliseconds(14'900));
+    CHECK(commands.all<end_requests>().empty());
+    pass(std::chrono::milliseconds(100));
+    CHECK(commands.all<end_requests>().size() == 1);
+}
+
 TEST_CASE_FIXTURE(routing_fixture, "Routers discover each other through heartbeats [routing]")
 {
     fleet_heartbeat heartbeat {
--- a/tests/unit/routing_fixture.hpp
+++ b/tests/unit/routing_fixture.hpp
@@ -21,6 +21,7 @@
         route_bounds bounds;
         bounds.keyRevocationLimit = std::chrono::seconds(5);
         bounds.retryAllowance = 10;
+        bounds.drainLimit = std::chrono::milliseconds(4000);
         return bounds;
     }
 
@@ -30,7 +31,6 @@
         settings.self = { "r1" };
         settings.domain = { "north" };
         settings.drainNotice = std::chrono::milliseconds(3000);
-        settings.drainLimit = std::chrono::milliseconds(4000);
         return settings;
     }
 
