--- a/src/kumquatbeam/controllers/directory_controller.cpp
+++ b/src/kumquatbeam/controllers/directory_controller.cpp
@@ -122,7 +122,7 @@
     const auto longestGap
         = std::chrono::duration_cast<clock::duration>(m_bounds.changePropagationLimit * outageFraction);
     const bool isRestored = updateEra(observed.era, context);
-    if (isRestored || (m_lastRead != never && observed.readStartedAt > m_lastRead + longestGap)) {
+    if (isRestored || observed.readStartedAt > m_nextReadDueBy) {
         m_keepMissingUntil = keepMissingUntil(observed);
         context.log.changed({ name(), "regained",
             "after-ms=" + millisecondsText(observed.readStartedAt - m_lastRead) + " outage-ended-within-ms="
@@ -130,6 +130,7 @@
                 + " keep-missing-ms=" + millisecondsText(m_keepMissingUntil - context.now) });
     }
     m_lastRead = observed.readStartedAt;
+    m_nextReadDueBy = observed.readStartedAt + longestGap;
     std::erase_if(m_leaving, [&](const auto& entry) { return entry.second.forgetAt <= context.now; });
     if (isRestored)
         holdDeparted(*observed.directory, context);
--- a/src/kumquatbeam/controllers/directory_controller.hpp
+++ b/src/kumquatbeam/controllers/directory_controller.hpp
@@ -94,6 +94,9 @@
     /// Number of eras of the directory that this process has seen, one after another.
     std::uint64_t m_erasSeen = 0;
     time_point m_lastRead = never;
+    /// A read that starts later comes after an outage. Set with each read, since the bounds that are in force then also
+    /// determine when the next one starts.
+    time_point m_nextReadDueBy = never;
     /// End of the grace period in which endpoints that are missing since an outage are kept.
     time_point m_keepMissingUntil = time_point::min();
     /// Endpoints that are missing but kept, and the time at which each is dropped.
--- a/tests/unit/directory_controller.tests.cpp
+++ b/tests/unit/directory_controller.tests.cpp
@@ -110,6 +110,31 @@
     CHECK(replyTo(sendRequest("/lookup/1"))->problem->kind == failure_kind::NoEndpoint);
 }
 
+// DRAIN: with lowered bounds, the wait for the next read counted as an outage, and what had left was kept.
+TEST_CASE_FIXTURE(
+    routing_fixture, "Lowering the bounds between two reads makes no outage of the gap between them [routing]")
+{
+    auto slow = bounds();
+    slow.changePropagationLimit = 4000ms;
+    handle(settings_reloaded { slow, {} });
+    publishAll();
+    pass(2310ms);
+    handle(settings_reloaded { bounds(), {} });
+    SUBCASE("the first read after the change is in time")
+    {
+        announce({ endpoint("e1", "desk") });
+        CHECK(replyTo(sendRequest("/lookup/1"))->problem->kind == failure_kind::NoEndpoint);
+    }
+    SUBCASE("the reads after it follow the lowered bounds")
+    {
+        publishAll();
+        pass(1510ms);
+        announce({ endpoint("e1", "desk") });
+        sendRequest("/lookup/1");
+        CHECK(attempts() == 1);
+    }
+}
+
 TEST_CASE_FIXTURE(routing_fixture, "An endpoint that says in an answer that it is leaving gets no more calls [routing]")
 {
     publish(table(1));
