Dispatch: apply reloaded retry budgets to pools that exist

A retry budget that was changed with SIGHUP applied only to pools that a later configuration added.

A pool now takes the limits from the bounds in force whenever it is refreshed, and the reload itself refreshes all pools, so cold limits also hold at once instead of with the next read of the store.

What was spent must count across a change. The buckets were numbered by the length of the window, so another window would have lost or mixed them; they now hold the time at which they end. With an unchanged window they cover the same spans as before.

Evidence: without the refresh at the reload, the new case of routing_core.tests failed (2 attempts in place of 1).

--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -43,6 +43,7 @@
             refreshPools(context);
             forgetIdleRoutes(context.now);
         },
+        [&](const settings_reloaded&) { refreshPools(context); },
         // The directory controller has handled the event before.
         [&](const directory_observed& observed) {
             for (auto& [id, pool] : m_pools)
@@ -91,9 +92,8 @@
     if (!table)
         return;
     std::erase_if(m_pools, [&](const auto& entry) { return !table->pools.contains(entry.first); });
-    const shared_retry_budget::limits limits { m_bounds.retryRatio, m_bounds.retryAllowance, m_bounds.retryWindow };
     for (const auto& [id, description] : table->pools) {
-        auto& pool = m_pools.try_emplace(id, description, limits, m_fleet).first->second;
+        auto& pool = m_pools.try_emplace(id, description, m_fleet).first->second;
         if (m_mayLearnSpeeds)
             pool.allowSpeedLearning();
         pool.refresh(*table, m_bounds, m_directory);
--- a/src/kumquatbeam/controllers/dispatch_pool.cpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.cpp
@@ -29,12 +29,10 @@
 
 } // namespace
 
-dispatch_pool::dispatch_pool(
-    const routed_pool& pool, const shared_retry_budget::limits& limits, const fleet_controller& fleet)
+dispatch_pool::dispatch_pool(const routed_pool& pool, const fleet_controller& fleet)
     : m_id(pool.id)
     , m_fleet(fleet)
     , m_strategy(strategyFor(pool))
-    , m_retries(limits)
     , m_shares(fleet.peerRates())
     , m_allowance(fleet.self())
 {
@@ -43,6 +41,7 @@
 void dispatch_pool::refresh(const route_table& table, const route_bounds& bounds, const directory_controller& directory)
 {
     const auto& announced = directory.endpoints();
+    m_retries.setLimits({ bounds.retryRatio, bounds.retryAllowance, bounds.retryWindow });
     setColdLimit(table.pools.at(m_id), bounds);
     m_shares.setCapacity(static_cast<double>(table.tokensPerSecond));
     auto old = std::exchange(m_endpoints, {});
--- a/src/kumquatbeam/controllers/dispatch_pool.hpp
+++ b/src/kumquatbeam/controllers/dispatch_pool.hpp
@@ -41,13 +41,14 @@
     /// Time for which the load that an endpoint reported counts for placement.
     static constexpr std::chrono::milliseconds reportRetention { 1000 };
 
-    dispatch_pool(const routed_pool&, const shared_retry_budget::limits&, const fleet_controller&);
+    dispatch_pool(const routed_pool&, const fleet_controller&);
 
     /// Lets the pool learn the speeds of its endpoints, and count the loads that they report, once one of them has
     /// reported a slowdown.
     void allowSpeedLearning() { m_mayLearnSpeeds = true; }
 
-    /// Updates the endpoints from the announced ones; incarnations that remain keep their load and learned rate.
+    /// Updates the limits from the bounds in force, and the endpoints from the announced ones; incarnations that remain
+    /// keep their load and learned rate. Must be called before the pool is used.
     void refresh(const route_table&, const route_bounds&, const directory_controller&);
 
     /// Lets a read of the directory supersede failures from before it. `refresh` must follow.
@@ -180,7 +181,7 @@
     /// default rate is used, and reported loads do not count.
     bool m_learnsSpeeds = false;
     endpoint_health m_health;
-    shared_retry_budget m_retries;
+    shared_retry_budget m_retries { {} };
     account_shares m_shares;
     /// Endpoints at whose address another one has answered, and when each may be used again.
     std::map<endpoint_id, time_point> m_replaced;
--- a/src/kumquatbeam/decisions/shared_retry_budget.cpp
+++ b/src/kumquatbeam/decisions/shared_retry_budget.cpp
@@ -20,8 +20,6 @@
     std::int64_t requests = 0;
     std::int64_t retries = 0;
     for (const auto& counted : m_buckets) {
-        if (counted.number < 0 || counted.number + static_cast<std::int64_t>(m_buckets.size()) <= current.number)
-            continue;
         requests += counted.requests;
         retries += counted.retries;
     }
@@ -36,12 +34,14 @@
 
 shared_retry_budget::bucket& shared_retry_budget::bucketAt(time_point now)
 {
-    const auto length = std::chrono::duration_cast<clock::duration>(m_limits.window) / bucketsPerWindow;
-    const auto number = static_cast<std::int64_t>(now.time_since_epoch() / length);
-    auto& found = m_buckets[static_cast<std::size_t>(number) % m_buckets.size()];
-    if (found.number != number)
-        found = { .number = number };
-    return found;
+    while (!m_buckets.empty() && m_buckets.front().endsAt + m_limits.window <= now)
+        m_buckets.pop_front();
+    if (m_buckets.empty() || m_buckets.back().endsAt <= now) {
+        // Buckets that began with their first count would together cover more than a window and a bucket.
+        const auto length = std::chrono::duration_cast<clock::duration>(m_limits.window) / bucketsPerWindow;
+        m_buckets.push_back({ .endsAt = time_point { (now.time_since_epoch() / length + 1) * length } });
+    }
+    return m_buckets.back();
 }
 
 } // namespace kumquatbeam
--- a/src/kumquatbeam/decisions/shared_retry_budget.hpp
+++ b/src/kumquatbeam/decisions/shared_retry_budget.hpp
@@ -2,9 +2,9 @@
 
 #include "kumquatbeam/types/time.hpp"
 
-#include <array>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 
 namespace kumquatbeam {
 
@@ -22,6 +22,10 @@
 
     explicit shared_retry_budget(limits);
 
+    /// Changes the limits. What was requested and spent within the new window, as far as the one before reaches,
+    /// counts.
+    void setLimits(const limits& budget) { m_limits = budget; }
+
     /// Records a caller's request for the pool.
     void recordRequest(time_point now);
 
@@ -30,12 +34,12 @@
     bool tryWithdraw(std::int64_t routers, time_point now);
 
 private:
-    /// Buckets of a window. A window that starts within a bucket touches one more bucket, so that one is stored and
-    /// counted too, and the budget holds for every window.
-    static constexpr std::size_t bucketsPerWindow = 20;
+    static constexpr int bucketsPerWindow = 20;
 
+    /// Counts of a part of the window. It counts until its end has left the window, so that the budget holds for every
+    /// window.
     struct bucket {
-        std::int64_t number = -1;
+        time_point endsAt;
         std::int64_t requests = 0;
         std::int64_t retries = 0;
     };
@@ -43,7 +47,8 @@
     bucket& bucketAt(time_point now);
 
     limits m_limits;
-    std::array<bucket, bucketsPerWindow + 1> m_buckets;
+    /// The oldest first.
+    std::deque<bucket> m_buckets;
 };
 
 } // namespace kumquatbeam
--- a/tests/unit/admission.tests.cpp
+++ b/tests/unit/admission.tests.cpp
@@ -131,3 +131,38 @@
         ++spent;
     CHECK(spent == 10);
 }
+
+TEST_CASE("A retry budget whose limits change keeps what was spent within its window [admission]")
+{
+    using namespace std::chrono_literals;
+    shared_retry_budget budget({ 0.0, 10, 10s });
+    const auto spentAt = [&](time_point now) {
+        int spent = 0;
+        while (budget.tryWithdraw(1, now))
+            ++spent;
+        return spent;
+    };
+    REQUIRE(spentAt(start) == 10);
+    SUBCASE("a larger allowance adds only the difference")
+    {
+        budget.setLimits({ 0.0, 15, 10s });
+        CHECK(spentAt(start + 1s) == 5);
+    }
+    SUBCASE("a smaller one allows none")
+    {
+        budget.setLimits({ 0.0, 5, 10s });
+        CHECK(spentAt(start + 1s) == 0);
+    }
+    SUBCASE("a longer window counts it for longer")
+    {
+        budget.setLimits({ 0.0, 10, 20s });
+        CHECK(spentAt(start + 19s) == 0);
+        CHECK(spentAt(start + 21s) == 10);
+    }
+    SUBCASE("a shorter window forgets it earlier")
+    {
+        budget.setLimits({ 0.0, 10, 4s });
+        CHECK(spentAt(start + 3900ms) == 0);
+        CHECK(spentAt(start + 4600ms) == 10);
+    }
+}
--- a/tests/unit/routing_core.tests.cpp
+++ b/tests/unit/routing_core.tests.cpp
@@ -150,6 +150,22 @@
     CHECK(repeats >= 40);
 }
 
+// BUDGET: pools that existed kept the retry budget of the process's start.
+TEST_CASE_FIXTURE(routing_fixture, "A reloaded retry budget holds at once for pools that exist [routing]")
+{
+    publishAll();
+    auto none = bounds();
+    none.retryRatio = 0;
+    none.retryAllowance = 0;
+    handle(settings_reloaded { none, {} });
+    const auto id = sendRequest("/lookup/1");
+    auto failed = attemptEnd(id, attempt_outcome::Completed);
+    failed.status = { 500 };
+    handle(failed);
+    CHECK(attempts() == 1);
+    CHECK(replyTo(id)->kind == reply_kind::Answered);
+}
+
 TEST_CASE_FIXTURE(
     routing_fixture, "A replaced endpoint is not used until its cooldown ends or the directory changes [routing]")
 {
