--- a/src/kumquatbeam/controllers/directory_controller.cpp
+++ b/src/kumquatbeam/controllers/directory_controller.cpp
@@ -126,7 +126,7 @@
     const auto earliestEnd = observed.outageEndedAfter.value_or(observed.readStartedAt);
     if (isRestored || (isFirst && observed.era > source_era {}))
         watchUnwritten(observed);
-    if (isRestored || (m_lastRead != never && observed.readStartedAt > m_lastRead + longestGap)) {
+    if (isRestored || observed.readStartedAt > m_nextReadDueBy) {
         m_keepMissingUntil = keepMissingUntil(observed.readStartedAt, earliestEnd);
         if (!isRestored)
             m_unwritten.postpone(m_keepMissingUntil - settlingPeriod);
@@ -136,6 +136,7 @@
                 + " keep-missing-ms=" + millisecondsText(m_keepMissingUntil - context.now) });
     }
     m_lastRead = observed.readStartedAt;
+    m_nextReadDueBy = observed.readStartedAt + longestGap;
     std::erase_if(m_leaving, [&](const auto& entry) { return entry.second.forgetAt <= context.now; });
     if (isRestored)
         holdDeparted(*observed.directory, context);
--- a/tests/unit/routing_core.tests.cpp
+++ b/tests/unit/routing_core.tests.cpp
@@ -181,6 +181,22 @@
     CHECK(repeats >= 40);
 }
 
+// BUDGET: pools that existed kept the retry budget of the process's start.
+TEST_CASE_FIXTURE(routing_fixture, "A reloaded retry budget holds at once for pools that exist [routing]")
+{
+    publishAll();
+    auto none = bounds();
+    none.retryRatio = 0;
+    none.retryAllowance = 0;
+    handle(settings_reloaded { none, {} });
+    const auto id = sendRequest("/lookup/1");
+    auto failed = attemptEnd(id, attempt_outcome::Completed);
+    failed.status = { 500 };
+    handle(failed);
+    CHECK(attempts() == 1);
+    CHECK(replyTo(id)->kind == reply_kind::Answered);
+}
+
 TEST_CASE_FIXTURE(
     routing_fixture, "A replaced endpoint is not used until its cooldown ends or the directory changes [routing]")
 {
@@ -222,6 +238,21 @@
     CHECK(commands.all<close_caller_connections>().size() == 1);
 }
 
+// LOST: the grace period of the process's start ended streams that the one in force allowed.
+TEST_CASE_FIXTURE(routing_fixture, "A shutdown waits as long as the reloaded settings allow [routing]")
+{
+    publishAll();
+    auto longer = bounds();
+    longer.drainLimit = std::chrono::milliseconds(12'000);
+    handle(settings_reloaded { longer, {} });
+    sendRequest("/plan/1");
+    handle(shutdown_requested {});
+    pass(std::chrono::milliseconds(14'900));
+    CHECK(commands.all<end_requests>().empty());
+    pass(std::chrono::milliseconds(100));
+    CHECK(commands.all<end_requests>().size() == 1);
+}
+
 TEST_CASE_FIXTURE(routing_fixture, "Routers discover each other through heartbeats [routing]")
 {
     fleet_heartbeat heartbeat {
