Discard the rest of refused requests without a buffer for each connection

Callers saw a router end: thousands of chunked bodies came at once, most of them were refused for lack of memory, and the router ran out of memory.

Cause: after a refusal, a connection read the rest of the request for up to 2 s into a buffer of 16 KiB of its own. Nothing counted these buffers, so each request that was dropped to free memory took some again.

The connection now waits until bytes have arrived and reads them into a buffer on the stack, so refused connections hold none, whatever their number. The end of the discarding is a deadline of the connection's timer.

--- a/src/kumquatbeam/sessions/caller_session.hpp
+++ b/src/kumquatbeam/sessions/caller_session.hpp
@@ -143,7 +143,9 @@
     void beginWaiting();
     void recordHeldBytes();
     void discardRest();
-    void onDiscarded(boost::beast::error_code);
+    void onDiscardTimeout(boost::beast::error_code);
+    void awaitDiscardable();
+    void onDiscardable(boost::beast::error_code);
     void closeConnection();
 
     caller_session_delegate& m_delegate;
--- a/src/kumquatbeam/sessions/caller_session_reading.cpp
+++ b/src/kumquatbeam/sessions/caller_session_reading.cpp
@@ -25,6 +25,7 @@
     constexpr std::chrono::milliseconds overloadRetryDelay { 500 };
 
     constexpr std::chrono::seconds discardTimeout { 2 };
+    constexpr std::size_t discardReadSize = 16 * 1024;
     constexpr unsigned http11 = 11;
 
     constexpr std::size_t pipelinedReadSize = 4096;
@@ -330,17 +331,36 @@
     // Closing while the caller still sends would reset the connection before the caller has read the refusal.
     beast::error_code ignored;
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    m_stream.expires_after(timeLeftUntil(m_discardUntil));
-    m_buffer.clear();
-    m_stream.async_read_some(m_buffer.prepare(initialBufferSize), handlerOf(&caller_session::onDiscarded));
+    if (!m_stream.socket().non_blocking())
+        m_stream.socket().non_blocking(true, ignored);
+    m_idleTimer.expires_at(m_discardUntil);
+    m_idleTimer.async_wait(handlerOf(&caller_session::onDiscardTimeout));
+    awaitDiscardable();
 }
 
-void caller_session::onDiscarded(beast::error_code error)
+void caller_session::onDiscardTimeout(beast::error_code error)
 {
-    if (error)
+    if (!error && !m_isClosed)
+        closeConnection();
+}
+
+void caller_session::awaitDiscardable()
+{
+    m_stream.socket().async_wait(asio::socket_base::wait_read, handlerOf(&caller_session::onDiscardable));
+}
+
+void caller_session::onDiscardable(beast::error_code error)
+{
+    if (m_isClosed)
+        return;
+    // Many callers may be refused at once, so the bytes are read into a buffer that the connection does not keep.
+    std::array<char, discardReadSize> input; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    if (!error)
+        m_stream.socket().read_some(asio::buffer(input), error);
+    if (error && error != asio::error::would_block)
         closeConnection();
     else
-        discardRest();
+        awaitDiscardable();
 }
 
 } // namespace kumquatbeam
