--- a/src/kumquatbeam/duties/callers_duty.cpp
+++ b/src/kumquatbeam/duties/callers_duty.cpp
@@ -67,7 +67,8 @@
         if (!status.ok())
             return status;
     }
-    return listenOn(m_acceptor, m_settings.callerAddress, m_settings.callerPort);
+    return listenOn(m_acceptor, m_settings.callerAddress, m_settings.callerPort,
+        { static_cast<std::uint64_t>(m_settings.callerReceiveBuffer) });
 }
 
 void callers_duty::start()
--- a/src/kumquatbeam/duties/listen.cpp
+++ b/src/kumquatbeam/duties/listen.cpp
@@ -6,7 +6,7 @@
 
 using boost::asio::ip::tcp;
 
-absl::Status listenOn(tcp::acceptor& acceptor, const std::string& address, std::int64_t port)
+absl::Status listenOn(tcp::acceptor& acceptor, const std::string& address, std::int64_t port, byte_count receiveBuffer)
 {
     boost::system::error_code error;
     const auto ipAddress = boost::asio::ip::make_address(address, error);
@@ -16,6 +16,11 @@
     acceptor.open(local.protocol(), error);
     if (!error)
         acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    // Accepted connections inherit the size; some callers may have sent more before it could be set for each of them.
+    boost::system::error_code ignored;
+    if (!error && receiveBuffer.value > 0)
+        acceptor.set_option(
+            boost::asio::socket_base::receive_buffer_size(static_cast<int>(receiveBuffer.value)), ignored);
     if (!error)
         acceptor.bind(local, error);
     if (!error)
--- a/src/kumquatbeam/settings/router_settings.hpp
+++ b/src/kumquatbeam/settings/router_settings.hpp
@@ -50,6 +50,9 @@
     std::int64_t requestMemoryLimit = 4'294'967'296;
     /// Maximum number of open caller connections. Beyond it, the one that has waited longest for its caller is closed.
     std::int64_t callerLimit = 20'000;
+    /// Bytes that the kernel may receive for a caller's connection before the router reads them; zero lets the system
+    /// choose.
+    std::int64_t callerReceiveBuffer = 0;
     /// Maximum number of connections to endpoints, in use and idle. An attempt beyond it ends without being sent.
     std::int64_t endpointConnectionLimit = 1'000'000;
     /// Time for the load balancer to notice that the router is no longer ready.
--- a/tests/unit/platform/decoders.tests.cpp
+++ b/tests/unit/platform/decoders.tests.cpp
@@ -233,6 +233,24 @@
     CHECK(settings->bounds.changePropagationLimit == std::chrono::milliseconds(2500));
 }
 
+// LOST, memory over the limit: bytes that had arrived on thousands of connections and were not read.
+TEST_CASE("The bytes that callers' connections hold unread fit into a quarter of the memory [platform]")
+{
+    for (const auto& [megabytes, descriptors] :
+        { std::pair { 64, 4096 }, { 120, 3075 }, { 390, 6150 }, { 520, 256 } }) {
+        auto text = settingsText;
+        const std::string stated = "memory_mb = 400";
+        text.replace(text.find(stated), stated.size(),
+            "memory_mb = " + std::to_string(megabytes) + "\nfile_descriptors = " + std::to_string(descriptors));
+        std::vector<failure> faults;
+        const auto settings = parseEntrySettings(text, faults);
+        REQUIRE(settings.ok());
+        const auto& router = settings->router;
+        CHECK(router.callerReceiveBuffer > 0);
+        CHECK(2 * router.callerReceiveBuffer * router.callerLimit <= std::int64_t { megabytes } * 1024 * 1024 / 4);
+    }
+}
+
 TEST_CASE("Every fault of the settings is reported with its place [platform]")
 {
     std::vector<failure> faults;
