--- a/tests/unit/sessions/store_reader.tests.cpp
+++ b/tests/unit/sessions/store_reader.tests.cpp
@@ -1,93 +1,12 @@
-#include "scripted_server.hpp"
-
-#include "platform/store_duty.hpp"
-#include "platform/store_reader.hpp"
+#include "store_reader_fixture.hpp"
 
 #include <doctest/doctest.h>
 
-#include <absl/strings/escaping.h>
-
-#include <chrono>
-
 using namespace kumquatbeam;
 using namespace kumquatbeam::platform;
 using namespace kumquatbeam::testing;
 using namespace std::chrono_literals;
 
-namespace {
-
-std::string item(const std::string& key, const std::string& value)
-{
-    return R"({"key":")" + key + R"(","revision":3,"value":")" + absl::Base64Escape(value) + R"("})";
-}
-
-/// A response of the store; `era` is the value of its era field, which is left out if it is empty.
-std::string response(const std::string& body, const std::string& era = "")
-{
-    const auto field = era.empty() ? "" : "Store-Era: " + era + "\r\n";
-    return "HTTP/1.1 200 OK\r\n" + field + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-std::string pageOf(const std::string& items, bool hasMore = false)
-{
-    return R"({"items":[)" + items + R"(],"truncated":)" + (hasMore ? "true}" : "false}");
-}
-
-/// A configuration without routes, in which one pool exists.
-std::string configuration(const std::string& pool)
-{
-    return R"({"version":8,"routes":[],"services":[{"name":")" + pool + R"("}]})";
-}
-
-const std::string goodEntry
-    = R"({"service":"s1","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":48,"state":"ready",)"
-      R"("cold_remaining_ms":0,"sequence":4,"born":17})";
-
-/// A store reader and the scripted store that it reads.
-struct store_fixture {
-    explicit store_fixture(server_script script, std::chrono::milliseconds changePropagationLimit = 2000ms)
-        : server(context, std::move(script))
-    {
-        bounds.changePropagationLimit = changePropagationLimit;
-        settings.platformAddress = "127.0.0.1";
-        settings.platformPort = server.port();
-        reader = std::make_shared<store_reader>(
-            context, settings, bounds, [this](decision_event event) { events.push_back(std::move(event)); });
-        reader->start();
-    }
-
-    void setChangePropagationLimit(std::chrono::milliseconds limit)
-    {
-        bounds.changePropagationLimit = limit;
-        reader->setBounds(bounds);
-    }
-
-    template <typename Event> std::vector<Event> all() const
-    {
-        std::vector<Event> found;
-        for (const auto& event : events) {
-            if (const auto* match = std::get_if<Event>(&event))
-                found.push_back(*match);
-        }
-        return found;
-    }
-
-    template <typename Event> bool awaits(std::size_t count, std::chrono::milliseconds limit)
-    {
-        return runUntil(
-            context, [&] { return all<Event>().size() >= count; }, limit);
-    }
-
-    boost::asio::io_context context;
-    scripted_server server;
-    router_settings settings;
-    route_bounds bounds;
-    std::vector<decision_event> events;
-    std::shared_ptr<store_reader> reader;
-};
-
-} // namespace
-
 TEST_CASE("An odd entry hides no other entry of the page [store_reader]")
 {
     const auto nested = std::string(100'000, '[') + std::string(100'000, ']');
@@ -335,72 +254,3 @@
     CHECK(coldUntil < reads.front().readStartedAt + 10s);
     CHECK(reads.back().directory->endpoints.at({ "a" }).coldUntil == coldUntil);
 }
-
-// DRAIN: the store was read at the period of the bounds that the process had started with.
-TEST_CASE("Lowered bounds bring the next read forward and shorten the period of those after it [store_reader]")
-{
-    store_fixture fixture({ .opening = response(pageOf("")) }, 60s);
-    REQUIRE(fixture.awaits<directory_observed>(1, 2s));
-    fixture.setChangePropagationLimit(2000ms);
-    REQUIRE(fixture.awaits<directory_observed>(3, 4s));
-    const auto reads = fixture.all<directory_observed>();
-    for (std::size_t i = 1; i < reads.size(); ++i) {
-        CHECK(reads[i].readStartedAt - reads[i - 1].readStartedAt >= 900ms);
-        CHECK(reads[i].readStartedAt - reads[i - 1].readStartedAt < 1500ms);
-    }
-}
-
-TEST_CASE("Lowered bounds start an overdue read at once [store_reader]")
-{
-    store_fixture fixture({ .opening = response(pageOf("")) }, 60s);
-    REQUIRE(fixture.awaits<directory_observed>(1, 2s));
-    runUntil(
-        fixture.context, [] { return false; }, 1200ms);
-    const auto reloaded = clock::now();
-    fixture.setChangePropagationLimit(2000ms);
-    REQUIRE(fixture.awaits<directory_observed>(2, 2s));
-    CHECK(fixture.all<directory_observed>().back().readStartedAt >= reloaded);
-    CHECK(fixture.all<directory_observed>().back().readStartedAt < reloaded + 300ms);
-}
-
-TEST_CASE("Raised bounds leave the next read in its place and lengthen the period after it [store_reader]")
-{
-    store_fixture fixture({ .opening = response(pageOf("")) });
-    REQUIRE(fixture.awaits<directory_observed>(1, 2s));
-    fixture.setChangePropagationLimit(60s);
-    REQUIRE(fixture.awaits<directory_observed>(2, 2s));
-    CHECK_FALSE(fixture.awaits<directory_observed>(3, 1500ms));
-}
-
-TEST_CASE("Bounds that change during a read start no second one beside it [store_reader]")
-{
-    store_fixture fixture({ .opening = "" }, 60s);
-    REQUIRE(runUntil(
-        fixture.context, [&] { return fixture.server.requests() == 1; }, 2s));
-    fixture.setChangePropagationLimit(2000ms);
-    CHECK_FALSE(runUntil(
-        fixture.context, [&] { return fixture.server.requests() > 1 || fixture.server.connections() > 1; }, 400ms));
-}
-
-TEST_CASE("Bounds in the ring of the store's duty reach its reads [store_reader]")
-{
-    boost::asio::io_context context;
-    scripted_server server(context, { .opening = response(pageOf("")) });
-    router_settings settings;
-    settings.platformAddress = "127.0.0.1";
-    settings.platformPort = server.port();
-    route_bounds bounds;
-    bounds.changePropagationLimit = 60s;
-    duty<decision_event> decisions("decisions", { .capacity = 64 });
-    duty_links links;
-    links.decisions = &decisions;
-    store_duty store(settings, bounds, links);
-    store.start();
-    REQUIRE(runUntil(
-        context, [&] { return server.requests() == 1; }, 2s));
-    bounds.changePropagationLimit = 2000ms;
-    REQUIRE(store.inbox().tryPost(bounds));
-    CHECK(runUntil(
-        context, [&] { return server.requests() >= 3; }, 4s));
-    store.stop();
-}
