Count nothrow allocations in the test of a read's memory, too

The sanitizer run reported operator new against free: the test program replaced the deallocation functions and not the nothrow allocation that std::stable_sort uses.

--- a/tests/unit/platform/read_memory.tests.cpp
+++ b/tests/unit/platform/read_memory.tests.cpp
@@ -45,11 +45,25 @@
     return allocate(size);
 }
 
+void* operator new(std::size_t size, const std::nothrow_t&) noexcept
+{
+    try {
+        return allocate(size);
+    } catch (const std::bad_alloc&) {
+        return nullptr;
+    }
+}
+
 void operator delete(void* block) noexcept
 {
     release(block);
 }
 
+void operator delete(void* block, const std::nothrow_t&) noexcept
+{
+    release(block);
+}
+
 void operator delete(void* block, std::size_t) noexcept
 {
     release(block);
