State the limit of a waiting request once

The queue removed requests by one expression and named the next removal by another, which had to agree; both now use one function. The lower bound of the service time is taken once for all queues of a pool. No change of behaviour: 290 cases of the decisions tests pass.

--- a/src/kumquatbeam/decisions/account_queue.cpp
+++ b/src/kumquatbeam/decisions/account_queue.cpp
@@ -5,6 +5,16 @@
 
 namespace kumquatbeam {
 
+namespace {
+
+    /// Until when a request may wait, if its answer takes at least `serviceTime`.
+    time_point limitOf(const request_context& context, clock::duration serviceTime)
+    {
+        return std::min(context.startLimit(), context.deadline == never ? never : context.deadline - serviceTime);
+    }
+
+} // namespace
+
 void account_queue::push(request_context context)
 {
     m_classes.at(static_cast<std::size_t>(context.call->urgencyClass)).push_back(std::move(context));
@@ -45,10 +55,8 @@
 {
     std::vector<request_context> expired;
     for (auto& waiting : m_classes) {
-        const auto firstExpired
-            = std::stable_partition(waiting.begin(), waiting.end(), [&](const request_context& context) {
-                  return context.startLimit() > now && context.deadline > now + serviceTime;
-              });
+        const auto firstExpired = std::stable_partition(waiting.begin(), waiting.end(),
+            [&](const request_context& context) { return limitOf(context, serviceTime) > now; });
         std::move(firstExpired, waiting.end(), std::back_inserter(expired));
         waiting.erase(firstExpired, waiting.end());
     }
@@ -60,8 +68,7 @@
     time_point earliest = never;
     for (const auto& waiting : m_classes) {
         for (const auto& context : waiting)
-            earliest = std::min(
-                { earliest, context.startLimit(), context.deadline == never ? never : context.deadline - serviceTime });
+            earliest = std::min(earliest, limitOf(context, serviceTime));
     }
     return earliest;
 }
--- a/src/kumquatbeam/decisions/pool_state.cpp
+++ b/src/kumquatbeam/decisions/pool_state.cpp
@@ -43,10 +43,10 @@
 void pool_state::refreshDeadlines(time_point now)
 {
     ejectionEndsAt = gate.nextEjectionEnd(now);
-    time_point earliest = never;
+    const auto lowerBound = serviceTime.lowerBound(now);
+    infeasibleAt = never;
     for (const auto& [account, queue] : queues)
-        earliest = std::min(earliest, queue.nextDeadline(serviceTime.lowerBound(now)));
-    infeasibleAt = earliest;
+        infeasibleAt = std::min(infeasibleAt, queue.nextDeadline(lowerBound));
 }
 
 time_point pool_state::nextDeadline() const
