Keep with a request whether its caller is being answered

Which limit holds once bytes have reached the caller was decided anew in three places. In the native router the one at the end of an attempt had no effect past the earliest deadline: the call went back to the queue, which removed it by that deadline. The request now carries the fact, and startLimit and earliestDeadline follow it everywhere, also in the queue.

No test of the native queue covers the difference yet.

--- a/src/kumquatbeam/controllers/dispatch_controller.cpp
+++ b/src/kumquatbeam/controllers/dispatch_controller.cpp
@@ -19,12 +19,6 @@
     /// Lowest status that counts as a failure of the endpoint.
     constexpr int lowestErrorStatus = 500;
 
-    /// Latest time for sending a call. A caller that has got a part of its answer still waits for the rest.
-    time_point sendLimitOf(const request_context& request, byte_count relayed)
-    {
-        return relayed.value > 0 ? std::min(request.deadline, request.sendBefore) : request.startLimit();
-    }
-
     std::chrono::milliseconds since(time_point from, time_point now)
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(now - from);
@@ -188,11 +182,9 @@
         .to = { announced->id, announced->address, announced->port, announced->incarnation },
         .call = request.call,
         .account = request.account,
-        .sendBefore = sendLimitOf(request, call.history.relayedBytes),
-        // A repeat ends when the caller may have stopped waiting; a first attempt or a stream that the caller reads may
-        // go on.
-        .deadline = call.history.attempts > 0 && call.history.relayedBytes.value == 0 ? request.earliestDeadline()
-                                                                                      : request.deadline,
+        .sendBefore = request.startLimit(),
+        // A repeat ends when the caller may have stopped waiting.
+        .deadline = call.history.attempts > 0 ? request.earliestDeadline() : request.deadline,
         .delivery = isStream(kind) ? answer_delivery::Events : answer_delivery::Buffered,
         .needsFreshConnection = !mayRunAgain(kind),
         .resumeAfter = call.history.lastEvent };
@@ -256,6 +248,7 @@
 void dispatch_controller::applyVerdict(running_call call, const attempt_ended& ended, decision_context& context)
 {
     renewKey(call.context);
+    call.context.isBeingAnswered |= ended.relayedBytes.value > 0;
     const auto attemptState = attemptStateOf(call, ended, context.now);
     auto verdict = verdictAfter(attemptState);
     auto problem = ended.problem.value_or(failure { failure_kind::EndpointBroke, ended.endpoint.value });
@@ -293,7 +286,6 @@
     const running_call& call, const attempt_ended& ended, time_point now) const
 {
     const auto kind = call.context.matched->route->kind;
-    const auto relayed = call.history.relayedBytes + ended.relayedBytes;
     const bool wasSent = ended.outcome != attempt_outcome::NotSent;
     // An answer that was not relayed is none to a caller who has a part of a stream.
     const bool isAnswer = ended.isRelayed || call.history.relayedBytes.value == 0;
@@ -304,11 +296,10 @@
         .mayHaveRunBefore = call.history.mayHaveRun,
         .isRepeatable = mayRunAgain(kind),
         .canResume = kind == call_kind::ResumableStream && ended.lastEvent.has_value(),
-        .relayedBytes = relayed,
+        .relayedBytes = call.history.relayedBytes + ended.relayedBytes,
         .attempts = call.history.sentAttempts + (wasSent ? 1 : 0),
         .attemptLimit = call.context.matched->route->attemptLimit,
-        .isStillAwaited
-        = !call.isAbandoned && sendLimitOf(call.context, relayed) > now && call.history.attempts < maxAttempts,
+        .isStillAwaited = !call.isAbandoned && call.context.startLimit() > now && call.history.attempts < maxAttempts,
     };
 }
 
--- a/src/kumquatbeam/controllers/placement_controller.cpp
+++ b/src/kumquatbeam/controllers/placement_controller.cpp
@@ -150,6 +150,7 @@
 
 void placement_controller::applyVerdict(running_call call, const attempt_ended& ended, decision_context& context)
 {
+    call.context.isBeingAnswered |= ended.relayedBytes.value > 0;
     const auto attemptState = attemptStateOf(call, ended, context.now);
     auto verdict = verdictAfter(attemptState);
     auto problem = ended.problem.value_or(failure { failure_kind::EndpointBroke, ended.endpoint.value });
@@ -189,8 +190,7 @@
         .canResume = pool != document->pools.end() && pool->second.canResume,
         .relayedBytes = ended.relayedBytes,
         .attempts = call.history.attempts + 1,
-        .isStillAwaited
-        = !call.isAbandoned && (ended.relayedBytes.value > 0 ? call.context.deadline : call.context.startLimit()) > now,
+        .isStillAwaited = !call.isAbandoned && call.context.startLimit() > now,
     };
 }
 
--- a/src/kumquatbeam/types/request_context.hpp
+++ b/src/kumquatbeam/types/request_context.hpp
@@ -63,10 +63,13 @@
     /// The placement that a filter found for the call.
     std::optional<placement> chosenPlacement {};
 
+    /// Whether a part of an answer has reached the caller, which therefore still waits for the rest.
+    bool isBeingAnswered = false;
+
     /// When the caller may have stopped waiting.
-    time_point earliestDeadline() const { return std::min(deadline, call->sendBefore); }
+    time_point earliestDeadline() const { return isBeingAnswered ? deadline : std::min(deadline, call->sendBefore); }
 
-    /// Latest time at which the call may be sent as long as nothing shows that the caller still waits.
+    /// Latest time at which the call may be sent.
     time_point startLimit() const { return std::min(earliestDeadline(), sendBefore); }
 };
 
