--- a/tests/unit/account_queue.tests.cpp
+++ b/tests/unit/account_queue.tests.cpp
@@ -57,3 +57,27 @@
     CHECK(queue.pop()->id == request_id { 3 });
     CHECK(queue.pop()->id == request_id { 1 });
 }
+
+// LOST: a call whose caller was reading its answer left the queue before it could be resumed.
+TEST_CASE("A request waits for the latest deadline only if its caller is being answered [account_queue]")
+{
+    const time_point now { std::chrono::hours(1) };
+    auto call = std::make_shared<call_request>();
+    call->sendBefore = now + std::chrono::seconds(1);
+    request_context request { .id = { 1 }, .call = std::move(call), .deadline = now + std::chrono::seconds(4) };
+    account_queue queue;
+    SUBCASE("an unanswered one")
+    {
+        queue.push(request);
+        CHECK(queue.nextDeadline() == now + std::chrono::seconds(1));
+        CHECK(queue.removeExpired(now + std::chrono::seconds(2)).size() == 1);
+    }
+    SUBCASE("one that is being answered")
+    {
+        request.isBeingAnswered = true;
+        queue.pushFront(request);
+        CHECK(queue.nextDeadline() == request.deadline);
+        CHECK(queue.removeExpired(now + std::chrono::seconds(2)).empty());
+        CHECK(queue.removeExpired(now + std::chrono::seconds(4)).size() == 1);
+    }
+}
