--- a/review/common-3/worker.py
+++ b/review/common-3/worker.py
@@ -4,6 +4,13 @@
 SIGTERM makes it drain: it reports `draining`, says `Server-Leaving: 1` in all answers, goes on serving for `--drain-ms`
 and `--linger-ms` after the store has accepted the report, removes its entry and exits.
 
+A target that ends with `/sold-out` is answered with 409, any other with 200; both are the worker's own answers to requests that
+it ran. It runs `--slots` requests at once, lets `--queue` more wait, and refuses the rest with 503 and `Not-Executed`.
+
+With `--garble-every N`, at most one in N of its answers is followed by a second copy that breaks off: answers with the status
+`--garble-status`, after `--garble-bytes` bytes. These bytes arrive late, just before the answer to the next request on the
+connection.
+
 `--clock-ms` is how far the time of day of its machine is ahead. Only `born` depends on it.
 
 Lines of JSON go to `--record`: what arrived, what ran to its end, what was dropped, and what was written to the store.
@@ -25,6 +32,9 @@
         self.sequence = 0
         self.state = "ready"
         self.running = 0
+        self.answers, self.garbled, self.waiting = 0, 0, 0
+        self.slots = asyncio.Semaphore(options.slots)
+        self.late_bytes = {}
         self.record = open(options.record, "a", buffering=1)
         self.drain_asked = asyncio.Event()
 
@@ -71,7 +81,7 @@
             head += f"Response-Seal: {self.options.id}.{request_id}\r\n"
         if self.state == "draining":
             head += "Server-Leaving: 1\r\n"
-        head += (f"Server-Load: {self.running},0,{self.options.slots}\r\nKeep-Alive: timeout=10\r\n{fields}"
+        head += (f"Server-Load: {self.running},{self.waiting},{self.options.slots}\r\nKeep-Alive: timeout=10\r\n{fields}"
                  f"Content-Length: {len(body)}\r\n\r\n")
         return head.encode() + (b"" if is_head else body)
 
@@ -88,6 +98,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.late_bytes.pop(writer, None)
             writer.close()
 
     async def handle(self, method, target, fields, reader, writer):
@@ -97,10 +108,19 @@
             writer.write(self.answer(421, request_id, fields=f"Instance-Id: {self.options.id}\r\n", seal=False))
             return True
         self.note("arrives", id=request_id, method=method, target=target, tenant=fields.get("tenant", ""))
+        if self.running >= self.options.slots and self.waiting >= self.options.queue:
+            self.note("sheds", id=request_id)
+            await self.send(writer, 503, self.refusal(request_id))
+            return True
+        self.waiting += 1
+        await self.slots.acquire()
+        self.waiting -= 1
         self.running += 1
+        self.note("starts", id=request_id)
         closed = asyncio.ensure_future(reader.read(1))
         await asyncio.wait({closed}, timeout=self.options.work_ms / 1000)
         self.running -= 1
+        self.slots.release()
         if closed.done():
             self.note("dropped", id=request_id)
             return False
@@ -109,12 +129,35 @@
             await closed
         except asyncio.CancelledError:
             pass
-        self.note("ran", id=request_id)
         body = b"" if target.endswith("/empty") else f"{self.options.id} {method} {target}".encode()
-        writer.write(self.answer(200, request_id, body, is_head=method == "HEAD"))
-        await writer.drain()
+        status = 409 if target.endswith("/sold-out") else 200
+        self.note("ran", id=request_id, status=status)
+        await self.send(writer, status, self.answer(status, request_id, body, is_head=method == "HEAD"))
         return True
 
+    def refusal(self, request_id):
+        return (f"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nAttempt-Id: {request_id}\r\n"
+                f"Server-Load: {self.running},{self.waiting},{self.options.slots}\r\nContent-Length: 0\r\n\r\n").encode()
+
+    async def send(self, writer, status, answer):
+        await self.send_late_bytes(writer)
+        writer.write(answer)
+        await writer.drain()
+        self.answers += 1
+        every = self.options.garble_every
+        if every and status == self.options.garble_status and (self.garbled + 1) * every <= self.answers:
+            self.garbled += 1
+            self.late_bytes[writer] = answer[:self.options.garble_bytes]
+
+    async def send_late_bytes(self, writer):
+        """Sends the beginning of a second copy of the last answer on this connection, if it is due."""
+        late = self.late_bytes.pop(writer, b"")
+        if late:
+            self.note("garbles", bytes=late.decode())
+            writer.write(late)
+            await writer.drain()
+            await asyncio.sleep(0.005)
+
 
 async def main():
     parser = argparse.ArgumentParser(description=__doc__)
@@ -125,10 +168,14 @@
     parser.add_argument("--record", required=True)
     parser.add_argument("--zone", default="sohar")
     parser.add_argument("--slots", type=int, default=6)
+    parser.add_argument("--queue", type=int, default=24)
     parser.add_argument("--work-ms", type=int, default=15)
     parser.add_argument("--heartbeat-ms", type=int, default=1200)
     parser.add_argument("--drain-ms", type=int, default=2000)
     parser.add_argument("--linger-ms", type=int, default=1000)
+    parser.add_argument("--garble-every", type=int, default=0)
+    parser.add_argument("--garble-status", type=int, default=200)
+    parser.add_argument("--garble-bytes", type=int, default=14)
     parser.add_argument("--clock-ms", type=int, default=0)
     worker = Worker(parser.parse_args())
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, worker.drain_asked.set)
