--- a/review/common-3/fleet3.py
+++ b/review/common-3/fleet3.py
@@ -68,6 +68,7 @@
         self.workers = {}
         self.version = 0
         self.routes, self.services, self.tenants = [], [], {}
+        self.body_bytes, self.memory_mb, self.file_descriptors = 4194304, 390, 6150
         self.store_port = free_ports(1)[0]
         self.routers = []
         for number in range(1, routers + 1):
@@ -124,7 +125,7 @@
         """Writes the configuration; the return is its acknowledgement."""
         self.version += 3
         config = {"version": self.version, "routes": self.routes, "services": self.services,
-                  "limits": {"header_bytes": 16384, "body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+                  "limits": {"header_bytes": 16384, "body_bytes": self.body_bytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
                              "tokens_per_s": 330000},
                   "tenants": [{"name": name, "api_keys": keys, "priority": 1} for name, keys in self.tenants.items()]}
         self.store("put?key=op%2Fconfig", json.dumps(config).encode())
@@ -171,8 +172,8 @@
 [limits]
 cpu_share = 0.38
 cores = 1
-memory_mb = 390
-file_descriptors = 6150
+memory_mb = {self.memory_mb}
+file_descriptors = {self.file_descriptors}
 link_mbps = 1500.0
 disk_mb = 0
 [bounds]
--- a/review/common-3/worker.py
+++ b/review/common-3/worker.py
@@ -5,7 +5,7 @@
 and `--linger-ms` after the store has accepted the report, removes its entry and exits.
 
 A target that ends with `/sold-out` is answered with 409, any other with 200; both are the worker's own answers to requests that
-it ran. It runs `--slots` requests at once, lets `--queue` more wait, and refuses the rest with 503 and `Not-Executed`.
+it ran. A target that ends with `/stream` is answered with `--events` events, one each `--pause-ms`. The worker runs `--slots` requests at once, lets `--queue` more wait, and refuses the rest with 503 and `Not-Executed`.
 
 With `--garble-every N`, at most one in N of its answers is followed by a second copy that breaks off: answers with the status
 `--garble-status`, after `--garble-bytes` bytes. These bytes arrive late, just before the answer to the next request on the
@@ -118,7 +118,11 @@
         self.running += 1
         self.note("starts", id=request_id)
         closed = asyncio.ensure_future(reader.read(1))
-        await asyncio.wait({closed}, timeout=self.options.work_ms / 1000)
+        is_stream = target.endswith("/stream")
+        if is_stream:
+            await self.stream(request_id, closed, writer)
+        else:
+            await asyncio.wait({closed}, timeout=self.options.work_ms / 1000)
         self.running -= 1
         self.slots.release()
         if closed.done():
@@ -132,9 +136,23 @@
         body = b"" if target.endswith("/empty") else f"{self.options.id} {method} {target}".encode()
         status = 409 if target.endswith("/sold-out") else 200
         self.note("ran", id=request_id, status=status)
+        if is_stream:
+            writer.write(b"0\r\n\r\n")
+            return True
         await self.send(writer, status, self.answer(status, request_id, body, is_head=method == "HEAD"))
         return True
 
+    async def stream(self, request_id, closed, writer):
+        """Sends the events of a stream, without its end, unless the connection is closed before."""
+        writer.write((f"HTTP/1.1 200 OK\r\nAttempt-Id: {request_id}\r\nResponse-Seal: {self.options.id}.{request_id}\r\n"
+                      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
+        for number in range(1, self.options.events + 1):
+            await asyncio.wait({closed}, timeout=self.options.pause_ms / 1000)
+            if closed.done():
+                return
+            event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+
     def refusal(self, request_id):
         return (f"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nAttempt-Id: {request_id}\r\n"
                 f"Server-Load: {self.running},{self.waiting},{self.options.slots}\r\nContent-Length: 0\r\n\r\n").encode()
@@ -176,6 +194,8 @@
     parser.add_argument("--garble-every", type=int, default=0)
     parser.add_argument("--garble-status", type=int, default=200)
     parser.add_argument("--garble-bytes", type=int, default=14)
+    parser.add_argument("--events", type=int, default=60)
+    parser.add_argument("--pause-ms", type=int, default=100)
     parser.add_argument("--clock-ms", type=int, default=0)
     worker = Worker(parser.parse_args())
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, worker.drain_asked.set)
